Add the gRPC front and gRPC nodes on the same core, with one suite over both wires

thornshelf/wire/placement.proto describes both sides: Dispatch (streamed set-ups and verdicts), Place (one task a call) and Check for clients, Bind (streamed offers and bindings) and Probe for nodes. h2 and protobuf run on our own loop. h2 closes a connection on any GOAWAY, sent or received, so wire/http2.py takes that frame out of its input and writes its own: open streams go on.

tests/test_both_wires.py runs over four pairs of forms on loopback with stand-ins of our own: all outcomes task for task, a binding cut midway (a ledger-batch task is offered once and fails), deadlines, closed connections, one client that mixes both forms, dead nodes, drains, hand-overs and bad input.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import replace
 from typing import Any
 
+import pytest
+
 from glenshift import interface as api
 from glenshift.brain import Placer
+from tests import standins
 
 SAFE = api.TaskClass(name="safe", aim_s=1.0, deadline_s=6.0, start_worth_s=8.0)
 
@@ -92,3 +96,11 @@
 def answers(actions: list[api.Action]) -> list[api.Refuse | api.Fail]:
     """The final answers among some actions."""
     return [action for action in actions if isinstance(action, api.Refuse | api.Fail)]
+
+
+@pytest.fixture(autouse=True)
+def _close_worlds() -> Iterator[None]:
+    """No test leaves sockets to the next."""
+    yield
+    while standins.worlds:
+        standins.worlds.pop().close()
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -245,7 +245,7 @@
     def _other(self, peer: str, anyone: bool) -> Owner | None:
         """The newest open connection of a client."""
         for owner in reversed(self._owners):
-            if anyone or owner.peer == peer:
+            if owner.lasting and (anyone or owner.peer == peer):
                 return owner
         return None
 
--- /dev/null
+++ b/thornshelf/fronts/grpc.py
@@ -0,0 +1,427 @@
+"""The gRPC front: set-ups and verdicts on streams, or one task a call, on the same core and rules."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Generator
+
+from glenshift.interface import Outcome, Reason
+from thornshelf.core import Dispatcher, GiveUp, OwnerCame, OwnerGone, SetUp
+from thornshelf.fronts.listener import Budget, Listener
+from thornshelf.loop import Loop, Stream, Timer, Wait
+from thornshelf.wire import grpc, http2
+from thornshelf.wire import placement_pb2 as pb
+from thornshelf.wire.errors import WireError
+
+SERVICE = "/thornshelf.v1.Placement/"
+MARGIN_US = 3_000  # of a client's wait: the answer will be under way
+_OUTCOMES = {Outcome.OK: pb.ENDED, Outcome.CANCELLED: pb.CANCELLED}  # any other end: RESET
+_REASONS = {
+    Reason.UNTOLD: pb.UNTOLD,
+    Reason.NO_CORES: pb.NO_CORES,
+    Reason.NO_MEMORY: pb.NO_MEMORY,
+    Reason.QUEUE_FULL: pb.BACKLOG,
+    Reason.NOT_HERE: pb.UNFIT,
+    Reason.EVICTED: pb.EVICTED,
+    Reason.PUSHED_OUT: pb.PUSHED_OUT,
+    Reason.SENT_AWAY: pb.SENT_AWAY,
+}
+
+
+def status(code: int, text: str = "", pushback_ms: int | None = None) -> list[tuple[str, str]]:
+    """Trailers."""
+    trailers = [("grpc-status", str(code))]
+    if text:
+        trailers.append(("grpc-message", grpc.encode_text(text)))
+    if pushback_ms is not None:
+        trailers.append(("grpc-retry-pushback-ms", str(pushback_ms)))
+    return trailers
+
+
+def _amount(value: float, name: str) -> float:
+    if not math.isfinite(value) or value < 0.0:
+        raise WireError(f"{name} is not a finite number of at least 0: {value}")
+    return value
+
+
+class Call:
+    """One stream of a client; unary calls but for ``Place`` are answered at once."""
+
+    def __init__(self, session: Session, stream: int, timeout_us: int | None) -> None:
+        self.session, self.stream = session, stream
+        self.loop = session.front.loop
+        self.until_us = None if timeout_us is None else self.loop.arrived + timeout_us
+        self.timer: Timer | None = None
+        if self.until_us is not None:
+            self.timer = self.loop.at(self.until_us, self.expire)
+        self.over = False
+        self.asked = False
+
+    def message(self, data: bytes) -> None:
+        """One message of the client."""
+        raise NotImplementedError
+
+    def half_closed(self) -> None:
+        """The client has sent all it will."""
+
+    def expire(self) -> None:
+        """The time of grpc-timeout is up."""
+        self.finish(grpc.DEADLINE_EXCEEDED, "the call's time is up")
+
+    def send(self, verdict: pb.Verdict) -> http2.Outgoing:
+        """One message to the client."""
+        return self.session.http.send(self.stream, grpc.frame(verdict))
+
+    def finish(self, code: int, text: str = "", pushback_ms: int | None = None) -> None:
+        """End the call with a status."""
+        if not self.over:
+            self.session.http.finish(self.stream, status(code, text, pushback_ms))
+            self.gone()
+
+    def gone(self) -> None:
+        """The call is over, by either side."""
+        self.over = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.session.calls.pop(self.stream, None)
+
+
+class CheckCall(Call):
+    """Whether the dispatcher takes tasks."""
+
+    def __init__(self, session: Session, stream: int, timeout_us: int | None) -> None:
+        super().__init__(session, stream, timeout_us)
+        session.http.respond(stream, [(":status", "200"), ("content-type", "application/grpc")])
+
+    def message(self, data: bytes) -> None:
+        """Answer at once."""
+        grpc.parse(pb.CheckRequest, data)
+        reply = grpc.frame(pb.CheckReply(passed=not self.session.front.ending))
+        self.session.http.send(self.stream, reply)
+        self.finish(grpc.OK)
+
+
+class OwnerCall(Call):
+    """A call that asks for tasks; the core knows it as an ``Owner``."""
+
+    lasting = True
+
+    def answer(self, uid: int, description: bytes) -> None:
+        """The task stands."""
+        raise NotImplementedError
+
+    def refuse(self, uid: int, wait_us: int | None) -> None:
+        """Refused: asking again does no harm."""
+        raise NotImplementedError
+
+    def fail(self, uid: int) -> None:
+        """Failed: nothing is promised."""
+        raise NotImplementedError
+
+    def release(self, uid: int, outcome: Outcome, reason: Reason) -> None:
+        """A task that stood is over."""
+        raise NotImplementedError
+
+    def move(self, uid: int) -> None:
+        """A task that stood is stopped; its client should ask again."""
+        raise NotImplementedError
+
+    @property
+    def peer(self) -> str:
+        """The client's host."""
+        return self.session.stream.peer
+
+    def ask(self, ask: pb.Ask) -> None:
+        """Hand a set-up to the core."""
+        core = self.session.front.core
+        terms = next((one for one in core.settings.classes if one.name == ask.task_class), None)
+        if terms is None:
+            raise WireError(f"class is not known: {ask.task_class!r:.40}", uid=ask.uid)
+        try:
+            left_ms = _amount(ask.left_ms, "left_ms")
+            hint_ms = _amount(ask.hint_ms, "hint_ms") if ask.HasField("hint_ms") else None
+            cores, memory = _amount(ask.cores, "cores"), _amount(ask.memory, "memory")
+        except WireError as fault:
+            raise WireError(str(fault), uid=ask.uid) from None
+        if not left_ms:
+            left_ms = terms.deadline_s * 1000.0
+        until = self.loop.arrived + int(min(left_ms, 1e9) * 1000)
+        if self.until_us is not None:
+            until = min(until, self.until_us)
+        core.inbox.append(
+            SetUp(
+                owner=self,
+                uid=ask.uid,
+                task_class=ask.task_class,
+                tenant=ask.tenant or None,
+                key=ask.key,
+                deadline_us=until - MARGIN_US,
+                hint_us=None if hint_ms is None else int(min(hint_ms, 1e12) * 1000),
+                service=ask.service,
+                cores=cores,
+                memory=memory,
+                description=ask.description,
+                at=ask.at or None,
+            )
+        )
+
+
+class DispatchCall(OwnerCall):
+    """Many tasks on one stream."""
+
+    def __init__(self, session: Session, stream: int, timeout_us: int | None) -> None:
+        super().__init__(session, stream, timeout_us)
+        self.open: set[int] = set()
+        self.standing: set[int] = set()
+        self.releases: dict[int, tuple[http2.Outgoing, Outcome, Reason]] = {}
+        self.ended = False
+        session.front.core.inbox.append(OwnerCame(self))
+        session.http.respond(stream, [(":status", "200"), ("content-type", "application/grpc")])
+
+    def message(self, data: bytes) -> None:
+        """A set-up, or one that is given up."""
+        said = grpc.parse(pb.ClientMessage, data)
+        if said.HasField("ask"):
+            try:
+                self.ask(said.ask)
+            except WireError as fault:
+                self.session.front.refuse_input(self.peer, fault)
+                self.send(pb.Verdict(uid=said.ask.uid, failure=pb.Failure(why=str(fault))))
+                return
+            (self.standing if said.ask.at else self.open).add(said.ask.uid)
+        elif said.HasField("give_up"):
+            self.open.discard(said.give_up)
+            self.standing.discard(said.give_up)
+            self.session.front.core.inbox.append(GiveUp(said.give_up))
+            self._rest()
+
+    def half_closed(self) -> None:
+        """The stream lasts until all its tasks are over."""
+        self.ended = True
+        self._rest()
+
+    def answer(self, uid: int, description: bytes) -> None:
+        """The task stands."""
+        self.open.discard(uid)
+        self.standing.add(uid)
+        self.send(pb.Verdict(uid=uid, binding=pb.Binding(description=description)))
+
+    def refuse(self, uid: int, wait_us: int | None) -> None:
+        """Refused."""
+        refusal = pb.Refusal(wait_ms=max(1, wait_us // 1000)) if wait_us else pb.Refusal()
+        self._last(uid, pb.Verdict(uid=uid, refusal=refusal))
+
+    def fail(self, uid: int) -> None:
+        """Failed."""
+        self._last(uid, pb.Verdict(uid=uid, failure=pb.Failure(why="it may have run")))
+
+    def release(self, uid: int, outcome: Outcome, reason: Reason) -> None:
+        """The task is over."""
+        release = pb.Release(outcome=_OUTCOMES.get(outcome, pb.RESET), reason=_REASONS[reason])
+        self.releases = {key: one for key, one in self.releases.items() if not one[0].whole}
+        self.releases[uid] = (self._last(uid, pb.Verdict(uid=uid, release=release)), outcome, reason)
+
+    def move(self, uid: int) -> None:
+        """Stopped, to be asked for again."""
+        self._last(uid, pb.Verdict(uid=uid, move=pb.Move()))
+
+    def gone(self) -> None:
+        """What is open is given up; what stands goes on."""
+        if not self.over:
+            super().gone()
+            unsent = [(uid, how, why) for uid, (sent, how, why) in self.releases.items() if not sent.whole]
+            self.session.front.core.inbox.append(OwnerGone(self, unsent))
+
+    def _last(self, uid: int, verdict: pb.Verdict) -> http2.Outgoing:
+        self.open.discard(uid)
+        self.standing.discard(uid)
+        sent = self.send(verdict)
+        self._rest()
+        return sent
+
+    def _rest(self) -> None:
+        if self.ended and not self.open and not self.standing:
+            self.finish(grpc.OK)
+
+
+class PlaceCall(OwnerCall):
+    """One task; its release goes to the client's newest stream."""
+
+    lasting = False
+
+    def message(self, data: bytes) -> None:
+        """The set-up."""
+        if self.asked:
+            self.finish(grpc.INVALID_ARGUMENT, "one message is taken")
+            return
+        self.asked = True
+        try:
+            self.ask(grpc.parse(pb.Ask, data))
+        except WireError as fault:
+            if fault.uid is None:
+                raise
+            self.session.front.refuse_input(self.peer, fault)
+            self.finish(grpc.INVALID_ARGUMENT, str(fault))
+
+    def half_closed(self) -> None:
+        """A call without a message asks for nothing."""
+        if not self.asked:
+            self.finish(grpc.INVALID_ARGUMENT, "no message came")
+
+    def answer(self, uid: int, description: bytes) -> None:
+        """The task stands."""
+        self.session.http.respond(self.stream, [(":status", "200"), ("content-type", "application/grpc")])
+        self.send(pb.Verdict(uid=uid, binding=pb.Binding(description=description)))
+        self.finish(grpc.OK)
+
+    def refuse(self, uid: int, wait_us: int | None) -> None:
+        """Refused: the pushback tells when to come again."""
+        pushback = max(1, wait_us // 1000) if wait_us else None
+        self.session.end_early(self, grpc.RESOURCE_EXHAUSTED, "refused", pushback)
+
+    def fail(self, uid: int) -> None:
+        """Failed."""
+        self.session.end_early(self, grpc.ABORTED, "failed: it may have run")
+
+    def release(self, uid: int, outcome: Outcome, reason: Reason) -> None:
+        """Not reached: a call that is over is no owner, and one that is not has no task that stands."""
+
+    def move(self, uid: int) -> None:
+        """Not reached, likewise."""
+
+    def expire(self) -> None:
+        """The set-up is given up with the call."""
+        self.session.end_early(self, grpc.DEADLINE_EXCEEDED, "the call's time is up")
+
+    def finish(self, code: int, text: str = "", pushback_ms: int | None = None) -> None:
+        """Trailers alone where no headers went out."""
+        if code == grpc.OK:
+            super().finish(code, text, pushback_ms)
+        else:
+            self.session.end_early(self, code, text, pushback_ms)
+
+    def gone(self) -> None:
+        """A set-up that is still open is given up."""
+        if not self.over:
+            super().gone()
+            self.session.front.core.inbox.append(OwnerGone(self))
+
+
+_CALLS: dict[str, type[Call]] = {
+    SERVICE + "Dispatch": DispatchCall,
+    SERVICE + "Place": PlaceCall,
+    SERVICE + "Check": CheckCall,
+}
+
+
+class Session:
+    """One client connection."""
+
+    def __init__(self, front: GrpcFront, stream: Stream) -> None:
+        self.front, self.stream = front, stream
+        self.http = http2.Http2(False, stream.send)
+        self.calls: dict[int, Call] = {}
+
+    def take(self, event: http2.Event) -> None:
+        """One event of the connection."""
+        if isinstance(event, http2.Opened):
+            self._open(event)
+            return
+        if isinstance(event, http2.GoAway):
+            return  # the client will open no more streams
+        call = self.calls.get(event.stream)
+        if call is None:
+            return
+        match event:
+            case http2.Received(data=data):
+                try:
+                    call.message(data)
+                except WireError as fault:
+                    self.front.refuse_input(self.stream.peer, fault)
+                    call.finish(grpc.INTERNAL, str(fault))
+            case http2.Ended():
+                call.half_closed()
+            case http2.Broken():
+                call.gone()
+
+    def end_early(self, call: Call, code: int, text: str, pushback_ms: int | None = None) -> None:
+        """Trailers alone: no message has been sent."""
+        if not call.over:
+            self._refuse(call.stream, code, text, pushback_ms)
+            call.gone()
+
+    def close(self) -> None:
+        """The connection is over."""
+        for call in list(self.calls.values()):
+            call.gone()
+
+    def _refuse(self, stream: int, code: int, text: str, pushback_ms: int | None = None) -> None:
+        headers = [(":status", "200"), ("content-type", "application/grpc")]
+        self.http.respond(stream, headers + status(code, text, pushback_ms), end=True)
+
+    def _open(self, event: http2.Opened) -> None:
+        headers = event.headers
+        kind = _CALLS.get(headers.get(":path", ""))
+        if headers.get(":method") != "POST" or not headers.get("content-type", "").startswith(
+            "application/grpc"
+        ):
+            self.http.respond(event.stream, [(":status", "415")], end=True)
+        elif kind is None:
+            self._refuse(event.stream, grpc.UNIMPLEMENTED, f"no such method: {headers.get(':path', '')}")
+        elif headers.get("grpc-encoding", "identity") != "identity":
+            self._refuse(event.stream, grpc.UNIMPLEMENTED, "messages are taken uncompressed only")
+        elif self.front.ending:
+            self._refuse(event.stream, grpc.UNAVAILABLE, "the dispatcher is ending")
+        else:
+            try:
+                text = headers.get("grpc-timeout")
+                timeout = None if text is None else grpc.read_timeout(text)
+            except WireError as fault:
+                self._refuse(event.stream, grpc.INVALID_ARGUMENT, str(fault))
+                return
+            self.calls[event.stream] = kind(self, event.stream, timeout)
+
+
+class GrpcFront:
+    """Listens for gRPC clients."""
+
+    def __init__(self, loop: Loop, core: Dispatcher, address: tuple[str, int], budget: Budget) -> None:
+        self.loop, self.core = loop, core
+        self.ending = False
+        self._sessions: dict[Session, None] = {}
+        self.listener = Listener(loop, address, budget, self._serve, self.make_room)
+
+    def make_room(self) -> bool:
+        """Close a connection on which nothing is open."""
+        for session in self._sessions:
+            if not session.calls and not session.stream.unsent:
+                session.stream.close()
+                return True
+        return False
+
+    def close_idle(self) -> None:
+        """GOAWAY everywhere; streams without an open set-up end."""
+        self.ending = True
+        for session in list(self._sessions):
+            session.http.go_away()
+            for call in list(session.calls.values()):
+                if isinstance(call, DispatchCall) and not call.open:
+                    call.finish(grpc.UNAVAILABLE, "the dispatcher is ending")
+
+    def refuse_input(self, peer: str, fault: WireError) -> None:
+        """One log line for bad input."""
+        self.core.log(4, "bad-message", {"peer": peer}, str(fault))
+
+    def _serve(self, stream: Stream) -> Generator[Wait, int, None]:
+        session = Session(self, stream)
+        self._sessions[session] = None
+        try:
+            while data := (yield from stream.read()):
+                for event in session.http.receive(data):
+                    session.take(event)
+        except WireError as fault:
+            self.refuse_input(stream.peer, fault)
+            stream.flush()  # the GOAWAY that says why
+        finally:
+            del self._sessions[session]
+            session.close()
--- a/thornshelf/fronts/platform.py
+++ b/thornshelf/fronts/platform.py
@@ -19,6 +19,8 @@
 class Connection:
     """One owner connection; the core knows it as an ``Owner``."""
 
+    lasting = True
+
     def __init__(self, front: PlatformFront, stream: Stream) -> None:
         self.front, self.stream = front, stream
         self.open: set[int] = set()
--- a/thornshelf/loop/loop.py
+++ b/thornshelf/loop/loop.py
@@ -77,6 +77,7 @@
         self._watches: dict[int, _Watch] = {}
         self._timers: list[tuple[int, int, Timer]] = []
         self._order = itertools.count()
+        self._tasks: set[Task] = set()
         self._ready: deque[tuple[Task, int]] = deque()
         self._running = False
         self._ends: list[Callable[[], None]] = []
@@ -88,6 +89,7 @@
     def spawn(self, body: Coroutine) -> Task:
         """Start a coroutine in this turn."""
         task = Task(body)
+        self._tasks.add(task)
         self._ready.append((task, 0))
         return task
 
@@ -95,6 +97,7 @@
         """End a coroutine where it waits; its ``finally`` blocks run."""
         if not task.done:
             task.done = True
+            self._tasks.discard(task)
             self._unwait(task)
             task.body.close()
 
@@ -128,7 +131,9 @@
         self._running = False
 
     def close(self) -> None:
-        """Give back the epoll descriptor."""
+        """End all coroutines and give back the epoll descriptor."""
+        while self._tasks:
+            self.cancel(self._tasks.pop())
         self._epoll.close()
 
     def run(self) -> None:
@@ -217,9 +222,11 @@
                 wait = next(task.body)
         except StopIteration:
             task.done = True
+            self._tasks.discard(task)
             return
         except Exception as fault:  # one coroutine's fault must not end the others'
             task.done = True
+            self._tasks.discard(task)
             if self.on_fault is None:
                 raise
             self.on_fault(fault)
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -4,15 +4,16 @@
 
 from collections import deque
 from collections.abc import Generator
-from typing import Protocol
 
 from glenshift.interface import Health, Outcome, Reason, Report
 from thornshelf.core import Attempt, Dispatcher, Finished, NodeEntry, NodeLost, Probed
 from thornshelf.loop import Loop, Stream, Task, Timer, Wait
 from thornshelf.loop.stream import connect
+from thornshelf.wire.errors import WireError
 
 PROBE_US = 250_000  # a probe is not waited for longer
 RETRY_US = 250_000  # pause between connects where tasks stand and the node can't be reached
+LOOK_US = 20_000  # a connection that only finishes what is out is looked at so often
 IDLE_SHARE = 0.8  # an idle connection is closed this far into the time after which the node would close it
 
 REPORT_FIELDS = {
@@ -34,29 +35,60 @@
     return Report(**named) if named else None
 
 
-class Link(Protocol):
+class BaseLink:
     """One open connection in one wire form."""
 
+    def __init__(self, node: BaseNode, stream: Stream) -> None:
+        self.node, self.stream = node, stream
+        self.accepting = True  # False: it only finishes what is out, and new offers wait for the next
+
     def offer(self, attempt: Attempt) -> None:
         """Send a set-up."""
+        raise NotImplementedError
 
     def withdraw(self, uid: int) -> bool:
         """Give a set-up up; true where no byte of it had left."""
+        raise NotImplementedError
 
     def left(self, uid: int) -> bool:
         """Whether all of a set-up has left, so that it may run."""
+        raise NotImplementedError
 
     def cut(self, uid: int) -> None:
         """End a task that stands."""
+        raise NotImplementedError
 
     def probe(self) -> None:
         """Ask for a report."""
+        raise NotImplementedError
 
-    def run(self) -> Generator[Wait, int, str]:
-        """Read until the connection ends; says why."""
+    def take(self, data: bytes) -> str | None:
+        """Bytes of the connection; says why it is over, where it is."""
+        raise NotImplementedError
 
-    def close(self) -> None:
-        """End the connection."""
+    def run(self) -> Generator[Wait, int, str]:
+        """Read until the connection ends or has long been idle; says why it ended, or nothing."""
+        node = self.node
+        quiet_since = node.loop.now
+        while True:
+            wait = LOOK_US if not self.accepting else node.idle_after_us() // 4
+            data = yield from self.stream.read(node.loop.now + wait)
+            if data is None:
+                if not node.idle:
+                    quiet_since = node.loop.now
+                elif node.loop.now - quiet_since >= node.idle_after_us():
+                    return ""
+            elif not data:
+                return "connection ended by the node or the network"
+            else:
+                quiet_since = node.loop.now
+                try:
+                    if (why := self.take(data)) is not None:
+                        return why
+                except WireError as fault:
+                    return f"unreadable: {fault}"
+            if not self.accepting and not node.out:
+                return "the node wants another connection"
 
 
 class BaseNode:
@@ -70,14 +102,14 @@
         self.out: dict[int, Attempt] = {}  # sent and not ended
         self.standing: set[int] = set()
         self.cuts: dict[int, None] = {}  # to be ended as soon as there is a connection
-        self.link: Link | None = None
+        self.link: BaseLink | None = None
         self.closed = False
         self.draining = entry.health is Health.DRAINING
         self._task: Task | None = None
         self._probe: tuple[int, Timer] | None = None
         self._probe_wanted = False
 
-    def make_link(self, stream: Stream) -> Link:
+    def make_link(self, stream: Stream) -> BaseLink:
         """The wire form."""
         raise NotImplementedError
 
@@ -85,7 +117,7 @@
 
     def offer(self, attempt: Attempt) -> None:
         """Send a set-up now, or once the connection is up."""
-        if self.link is not None:
+        if self.link is not None and self.link.accepting:
             self.out[attempt.uid] = attempt
             self.link.offer(attempt)
         else:
@@ -148,9 +180,7 @@
         self.closed = True
         if self._task is not None:
             self.loop.cancel(self._task)
-        if self.link is not None:
-            self.link.close()
-            self.link = None
+        self.link = None  # its connection was closed with the coroutine
         if self._probe is not None:
             self.probed(Outcome.NOT_CONNECTED, None)
         for attempt in self.pending:
@@ -224,7 +254,9 @@
             broke = True
             if not self.closed and why:
                 self.core.log(5, "node-closed", {"node": self.name, "standing": len(self.standing)}, why)
-                yield Wait(until=self.loop.now + 1000)
+                # A node that ends each connection at once is not called in a tight circle.
+                short = self.loop.now - began < RETRY_US
+                yield Wait(until=self.loop.now + (RETRY_US if short else 1000))
 
     def _serve_link(self, stream: Stream) -> Generator[Wait, int, str]:
         link = self.link = self.make_link(stream)
@@ -250,7 +282,7 @@
                 self.core.inbox.append(Finished(self.machine, attempt.uid, outcome))
             if self._probe is not None:
                 self.probed(Outcome.BROKEN, None)
-            link.close()
+            stream.close()
 
     def _not_connected(self) -> None:
         for attempt in self.pending:
--- a/thornshelf/nodes/platform.py
+++ b/thornshelf/nodes/platform.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Generator
-
 from glenshift.interface import Fact, Outcome, Reason
 from thornshelf.core import Attempt, Noted, Started
-from thornshelf.loop import Chunk, Stream, Wait
-from thornshelf.nodes.base import BaseNode, Link, read_report
+from thornshelf.loop import Chunk, Stream
+from thornshelf.nodes.base import BaseLink, BaseNode, read_report
 from thornshelf.wire import binary
 from thornshelf.wire.errors import WireError
 
@@ -32,11 +30,12 @@
 }
 
 
-class PlatformLink:
+class PlatformLink(BaseLink):
     """One connection to a node."""
 
-    def __init__(self, node: PlatformNode, stream: Stream) -> None:
-        self.node, self.stream = node, stream
+    def __init__(self, node: BaseNode, stream: Stream) -> None:
+        super().__init__(node, stream)
+        self._reader = binary.MessageReader()
         self._chunks: dict[int, Chunk] = {}
 
     def offer(self, attempt: Attempt) -> None:
@@ -74,32 +73,12 @@
         """A test with cause 1 asks for a report."""
         self.stream.send(binary.encode(binary.TEST, 0, {binary.CAUSE: b"\x01"}))
 
-    def close(self) -> None:
-        """End the connection."""
-        self.stream.close()
-
-    def run(self) -> Generator[Wait, int, str]:
-        """Read until the connection ends."""
-        reader = binary.MessageReader()
-        node = self.node
-        quiet_since = node.loop.now
-        while True:
-            data = yield from self.stream.read(node.loop.now + node.idle_after_us() // 4)
-            if data is None:
-                if not node.idle:
-                    quiet_since = node.loop.now
-                elif node.loop.now - quiet_since >= node.idle_after_us():
-                    return ""
-                continue
-            if not data:
-                return "connection ended by the node or the network"
-            quiet_since = node.loop.now
-            reader.feed(data)
-            try:
-                while (message := reader.next()) is not None:
-                    self._take(message)
-            except WireError as fault:
-                return f"unreadable: {fault}"
+    def take(self, data: bytes) -> str | None:
+        """Bytes of the connection."""
+        self._reader.feed(data)
+        while (message := self._reader.next()) is not None:
+            self._take(message)
+        return None
 
     def _release(self, uid: int) -> None:
         self.stream.send(binary.encode(binary.RELEASE, uid, {binary.CAUSE: bytes((GIVEN_UP,))}))
@@ -140,6 +119,6 @@
 class PlatformNode(BaseNode):
     """A node on the platform."""
 
-    def make_link(self, stream: Stream) -> Link:
+    def make_link(self, stream: Stream) -> BaseLink:
         """Its connection."""
         return PlatformLink(self, stream)
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -9,10 +9,12 @@
 import time
 import traceback
 from collections.abc import Generator
+from typing import TYPE_CHECKING
 
 from thornshelf.changelog import ChangeLog, read_events
 from thornshelf.config import Config, ConfigError
 from thornshelf.core import Dispatcher, Node, NodeEntry
+from thornshelf.core.dispatcher import LogCall
 from thornshelf.fronts.listener import Budget
 from thornshelf.fronts.platform import PlatformFront
 from thornshelf.loop import Loop, Wait
@@ -21,6 +23,9 @@
 from thornshelf.syslog import Syslog
 from thornshelf.wire.errors import WireError
 
+if TYPE_CHECKING:
+    from thornshelf.fronts.grpc import GrpcFront
+
 RESERVED = 96  # descriptors kept for nodes, change log, log and the rest
 SERVE_ON_US = 750_000  # after SIGTERM new requests keep coming for so long
 LINGER_US = 50_000  # for last lines to leave
@@ -29,14 +34,12 @@
 class Service:
     """One dispatcher."""
 
-    def __init__(self, config: Config, loop: Loop | None = None) -> None:
+    def __init__(self, config: Config, loop: Loop | None = None, log: LogCall | None = None) -> None:
         self.config = config
         self.loop = loop or Loop()
         # The one edge between Unix time and the loop's clock.
         self._unix_offset_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
-        self.log = Syslog(self.loop, config.name, "thornshelf", self._unix_offset_us)
-        if config.collector is not None:
-            self.log.to_collector(config.collector)
+        self.log = log or Syslog(self.loop, config.name, "thornshelf", self._unix_offset_us, config.collector)
         self.loop.on_fault = self._fault
         self.core = Dispatcher(self.loop, config.settings, config.seed, self._make_node, self.log)
         try:
@@ -49,17 +52,31 @@
             self.front = PlatformFront(self.loop, self.core, config.listen, budget)
         except OSError as fault:
             raise ConfigError(f"listen: {fault.strerror}: {config.listen[0]}:{config.listen[1]}") from None
+        self.fronts: list[PlatformFront | GrpcFront] = [self.front]
+        if config.grpc.listen is not None:
+            from thornshelf.fronts.grpc import GrpcFront  # a dispatcher without it stays small
+
+            try:
+                self.fronts.append(GrpcFront(self.loop, self.core, config.grpc.listen, budget))
+            except OSError as fault:
+                raise ConfigError(f"grpc.listen: {fault.strerror}: {config.grpc.listen}") from None
         if config.changelog is not None:
-            log = ChangeLog(
+            follower = ChangeLog(
                 self.loop, config.changelog, since, self.monotonic_us, self.core.inbox.append, self.log
             )
-            self.loop.spawn(log.run())
+            self.loop.spawn(follower.run())
         self._ending = False
 
     def monotonic_us(self, unix_us: int) -> int:
         """Unix time on the loop's clock."""
         return unix_us - self._unix_offset_us
 
+    def close(self) -> None:
+        """Drop everything at once."""
+        for front in self.fronts:
+            front.listener.close()
+        self.loop.close()
+
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish what is open."""
         self._watch_signals()
@@ -68,7 +85,8 @@
         gc.freeze()
         self.loop.run()
         self.log(6, "stop", dict(self.core.counts), "ended")
-        self.log.flush()
+        if isinstance(self.log, Syslog):
+            self.log.flush()
 
     def end(self) -> None:
         """A planned stop: serve on while requests still come, then finish the open ones."""
@@ -81,9 +99,10 @@
         until = self.loop.now + SERVE_ON_US
         while self.loop.now < until:
             yield Wait(until=until)
-        self.front.ending = True
-        self.front.listener.close()
-        self.front.close_idle()
+        for front in self.fronts:
+            front.ending = True
+            front.listener.close()
+            front.close_idle()
         while self.core.open_count or self.core.inbox:
             yield Wait(until=self.loop.now + 5_000)
         yield Wait(until=self.loop.now + LINGER_US)
@@ -110,6 +129,10 @@
                 self.end()
 
     def _make_node(self, machine: int, entry: NodeEntry, core: Dispatcher) -> Node:
+        if self.config.grpc.speaks(entry.name):
+            from thornshelf.nodes.grpc import GrpcNode
+
+            return GrpcNode(self.loop, machine, entry, core)
         return PlatformNode(self.loop, machine, entry, core)
 
     def _fault(self, fault: BaseException) -> None:
--- a/thornshelf/syslog.py
+++ b/thornshelf/syslog.py
@@ -12,26 +12,27 @@
 
 MOST_HELD = 256 * 1024
 RETRY_US = 20_000
+STDOUT = 1
 
 
 class Syslog:
     """Where log lines go."""
 
-    def __init__(self, loop: Loop, host: str, app: str, unix_offset_us: int) -> None:
+    def __init__(
+        self, loop: Loop, host: str, app: str, unix_offset_us: int, collector: tuple[str, int] | None = None
+    ) -> None:
         self.loop, self.host, self.app = loop, host, app
         self._offset, self._process = unix_offset_us, os.getpid()
         self._held: deque[bytes] = deque()
         self._size = self._dropped = 0
         self._waiting = False
-        self._fd = 1
-        self._udp: tuple[socket.socket, tuple[str, int]] | None = None
-        os.set_blocking(self._fd, False)
-
-    def to_collector(self, address: tuple[str, int]) -> None:
-        """Send datagrams to an operator's collector from now on (RFC 5426)."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        self._udp = (sock, address)
+        self._udp: socket.socket | None = None
+        if collector is not None:  # datagrams, after RFC 5426
+            self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self._udp.setblocking(False)
+            self._udp.connect(collector)
+        else:
+            os.set_blocking(STDOUT, False)
 
     def __call__(self, severity: int, message_id: str, values: Mapping[str, object], text: str) -> None:
         """One line."""
@@ -39,7 +40,7 @@
         line = rfc5424.format_line(severity, at, self.host, self.app, self._process, message_id, values, text)
         if self._udp is not None:
             try:
-                self._udp[0].sendto(line, self._udp[1])
+                self._udp.send(line)
             except OSError:
                 self._dropped += 1
             return
@@ -63,7 +64,7 @@
         while self._held:
             data = b"".join(self._held)
             try:
-                written = os.write(self._fd, data)
+                written = os.write(STDOUT, data)
             except BlockingIOError:
                 self._waiting = True
                 self.loop.after(RETRY_US, self.flush)
--- /dev/null
+++ b/thornshelf/wire/grpc.py
@@ -0,0 +1,92 @@
+"""gRPC's own formats: length-prefixed messages, time-outs, status codes and their percent-coded texts."""
+
+from __future__ import annotations
+
+import re
+from typing import TypeVar
+
+from google.protobuf.message import DecodeError, Message
+
+from thornshelf.wire.errors import WireError
+
+MAX_MESSAGE = 16 * 1024
+OK, CANCELLED, INVALID_ARGUMENT, DEADLINE_EXCEEDED = 0, 1, 3, 4
+RESOURCE_EXHAUSTED, ABORTED, UNIMPLEMENTED, INTERNAL, UNAVAILABLE = 8, 10, 12, 13, 14
+
+_TIMEOUT = re.compile(r"([0-9]{1,8})([HMSmun])")
+_UNIT_NS = {
+    "H": 3_600_000_000_000,
+    "M": 60_000_000_000,
+    "S": 1_000_000_000,
+    "m": 1_000_000,
+    "u": 1000,
+    "n": 1,
+}
+_UNSAFE = re.compile(rb"[^\x20-\x24\x26-\x7e]")
+_Message = TypeVar("_Message", bound=Message)
+
+
+def frame(message: Message) -> bytes:
+    """A message with its prefix, uncompressed."""
+    data = message.SerializeToString()
+    if len(data) > MAX_MESSAGE:
+        raise WireError(f"message is longer than {MAX_MESSAGE} bytes")
+    return b"\x00" + len(data).to_bytes(4, "big") + data
+
+
+def parse(kind: type[_Message], data: bytes) -> _Message:
+    """A message without its prefix."""
+    try:
+        return kind.FromString(data)
+    except DecodeError as fault:
+        raise WireError(f"no {kind.__name__}: {fault}", fatal=True) from None
+
+
+def read_timeout(text: str) -> int:
+    """The value of grpc-timeout, in microseconds."""
+    match = _TIMEOUT.fullmatch(text)
+    if match is None:
+        raise WireError(f"grpc-timeout is not understood: {text!r:.20}", fatal=True)
+    return int(match[1]) * _UNIT_NS[match[2]] // 1000
+
+
+def write_timeout(microseconds: int) -> str:
+    """The value of grpc-timeout: at most 8 digits, never longer than what is left."""
+    left = max(0, microseconds)
+    return f"{left}u" if left < 100_000_000 else f"{min(left // 1000, 99_999_999)}m"
+
+
+def encode_text(text: str) -> str:
+    """A status text, percent-coded."""
+    return _UNSAFE.sub(lambda found: b"%%%02X" % found[0][0], text.encode("utf-8", "replace")).decode("ascii")
+
+
+class Framer:
+    """Cuts the data of one stream into messages; what it holds is bounded by one message."""
+
+    def __init__(self) -> None:
+        self._held = bytearray()
+
+    def feed(self, data: bytes) -> None:
+        """Take more bytes of the stream."""
+        self._held += data
+
+    @property
+    def midway(self) -> bool:
+        """A message has begun and not ended."""
+        return bool(self._held)
+
+    def next(self) -> bytes | None:
+        """The next message, or none until more bytes come."""
+        if len(self._held) < 5:
+            return None
+        if self._held[0] != 0:
+            raise WireError("compressed messages are not taken", fatal=True)
+        length = int.from_bytes(self._held[1:5], "big")
+        if length > MAX_MESSAGE:
+            raise WireError(f"message is longer than {MAX_MESSAGE} bytes", fatal=True)
+        if len(self._held) < 5 + length:
+            return None
+        data = bytes(self._held[5 : 5 + length])
+        del self._held[: 5 + length]
+        return data
--- /dev/null
+++ b/thornshelf/wire/http2.py
@@ -0,0 +1,308 @@
+"""HTTP/2 for gRPC: h2 without sockets, and for each stream a queue of messages that keeps to flow control."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import h2.config
+import h2.connection
+import h2.errors
+import h2.events
+import h2.exceptions
+from h2.settings import SettingCodes
+from hyperframe.frame import GoAwayFrame
+
+from thornshelf.wire.errors import WireError
+from thornshelf.wire.grpc import Framer
+
+MOST_STREAMS = 128  # at once, opened by one client
+MOST_QUEUED = 256 * 1024  # bytes that wait on one stream for a peer that doesn't read
+_PREFACE = 24
+_GOAWAY = 7
+
+REFUSED_STREAM = int(h2.errors.ErrorCodes.REFUSED_STREAM)
+CANCEL = int(h2.errors.ErrorCodes.CANCEL)
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """Headers have come: a call at the server, the answer's at the client."""
+
+    stream: int
+    headers: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """One message."""
+
+    stream: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The peer has nothing more to say; at the client with the trailers."""
+
+    stream: int
+    trailers: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The stream is over: reset by the peer, or for what it sent."""
+
+    stream: int
+    code: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class GoAway:
+    """The peer takes no stream after ``last``; it goes on with the others."""
+
+    last: int
+    code: int
+
+
+Event = Opened | Received | Ended | Broken | GoAway
+
+
+class Part(Protocol):
+    """Bytes that were handed to the connection."""
+
+    @property
+    def whole(self) -> bool:
+        """All of them were given to the system."""
+
+
+class Outgoing:
+    """One message on its way out; ``chunks`` are the parts that were handed to the connection."""
+
+    __slots__ = ("chunks", "data", "offset")
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.offset = 0
+        self.chunks: list[Part] = []
+
+    @property
+    def whole(self) -> bool:
+        """All of it was given to the system: the peer may have it."""
+        return self.offset == len(self.data) and all(chunk.whole for chunk in self.chunks)
+
+
+class _Stream:
+    __slots__ = ("framer", "queue", "queued", "trailers")
+
+    def __init__(self) -> None:
+        self.framer = Framer()
+        self.queue: deque[Outgoing] = deque()
+        self.queued = 0
+        self.trailers: list[tuple[str, str]] | None = None
+
+
+class Http2:
+    """One connection's state. Bytes go out by ``emit``, which says what became of them."""
+
+    def __init__(self, client: bool, emit: Callable[[bytes], Part]) -> None:
+        self.client, self._emit = client, emit
+        config = h2.config.H2Configuration(client_side=client, header_encoding="utf-8")
+        self._h2 = h2.connection.H2Connection(config)
+        self._streams: dict[int, _Stream] = {}
+        self._held = b""  # input that is not yet a whole frame
+        self._preface = 0 if client else _PREFACE
+        self._last_seen = 0
+        self._h2.local_settings[SettingCodes.MAX_CONCURRENT_STREAMS] = MOST_STREAMS
+        self._h2.initiate_connection()
+        self._flush()
+
+    @property
+    def streams(self) -> int:
+        """How many are open."""
+        return len(self._streams)
+
+    def call(self, headers: list[tuple[str, str]]) -> int:
+        """Open a stream as a client."""
+        stream = self._h2.get_next_available_stream_id()
+        self._h2.send_headers(stream, headers)
+        self._streams[stream] = _Stream()
+        self._flush()
+        return stream
+
+    def respond(self, stream: int, headers: list[tuple[str, str]], end: bool = False) -> None:
+        """Send headers as a server; with ``end`` they are all there is."""
+        if stream in self._streams:
+            self._h2.send_headers(stream, headers, end_stream=end)
+            if end:
+                self._done(stream)
+            self._flush()
+
+    def send(self, stream: int, data: bytes) -> Outgoing:
+        """Queue a message; it goes out as far as flow control lets it."""
+        message = Outgoing(data)
+        state = self._streams.get(stream)
+        if state is not None and state.trailers is None:
+            state.queue.append(message)
+            state.queued += len(data)
+            self._pump(stream)
+            if state.queued > MOST_QUEUED:
+                self.reset(stream, int(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM))
+        return message
+
+    def retract(self, stream: int, message: Outgoing) -> bool:
+        """Call a message back; only one of which nothing was handed over."""
+        state = self._streams.get(stream)
+        if message.offset or state is None or message not in state.queue:
+            return False
+        state.queue.remove(message)
+        state.queued -= len(message.data)
+        return True
+
+    def finish(self, stream: int, trailers: list[tuple[str, str]]) -> None:
+        """End the stream behind what is queued; a client ends with no trailers."""
+        state = self._streams.get(stream)
+        if state is not None and state.trailers is None:
+            state.trailers = trailers
+            self._pump(stream)
+
+    def reset(self, stream: int, code: int = CANCEL) -> None:
+        """RST_STREAM."""
+        if self._streams.pop(stream, None) is not None:
+            try:
+                self._h2.reset_stream(stream, code)
+            except h2.exceptions.ProtocolError:
+                return  # it is closed already
+            self._flush()
+
+    def go_away(self) -> None:
+        """Take no new streams; those that are open go on, which h2's own close would not allow."""
+        frame = GoAwayFrame(0, last_stream_id=self._last_seen, error_code=0)
+        self._emit(frame.serialize())
+
+    def receive(self, data: bytes) -> list[Event]:
+        """Take bytes of the connection; a broken frame ends it by an error."""
+        events: list[Event] = []
+        self._held += data
+        while (piece := self._piece()) is not None:
+            if not self._preface and piece[3:4] == bytes((_GOAWAY,)):
+                # h2 closes the whole connection on this, but the open streams are to go on.
+                if len(piece) < 17:
+                    raise WireError("GOAWAY frame breaks off", fatal=True)
+                last = int.from_bytes(piece[9:13], "big") & 0x7FFFFFFF
+                events.append(GoAway(last, int.from_bytes(piece[13:17], "big")))
+                continue
+            self._preface = 0
+            try:
+                told = self._h2.receive_data(piece)
+            except (h2.exceptions.ProtocolError, ValueError) as fault:
+                self._flush()  # h2 has its word to the peer ready
+                raise WireError(f"no HTTP/2: {type(fault).__name__} {fault}", fatal=True) from None
+            for event in told:
+                self._take(event, events)
+        for stream in list(self._streams):
+            self._pump(stream)
+        self._flush()
+        return events
+
+    def _piece(self) -> bytes | None:
+        """The preface, or the next whole frame."""
+        length = self._preface
+        if not length:
+            if len(self._held) < 9:
+                return None
+            length = 9 + int.from_bytes(self._held[:3], "big")
+            if length > 9 + self._h2.max_inbound_frame_size:
+                raise WireError("frame is too long", fatal=True)
+        if len(self._held) < length:
+            return None
+        piece, self._held = self._held[:length], self._held[length:]
+        return piece
+
+    def _take(self, event: h2.events.Event, events: list[Event]) -> None:
+        match event:
+            case h2.events.RequestReceived(stream_id=stream, headers=headers):
+                self._streams[stream] = _Stream()
+                self._last_seen = max(self._last_seen, stream)
+                events.append(Opened(stream, _texts(headers)))
+            case h2.events.ResponseReceived(stream_id=stream, headers=headers):
+                events.append(Opened(stream, _texts(headers)))
+            case h2.events.DataReceived(stream_id=stream, data=data, flow_controlled_length=length):
+                if length:
+                    self._h2.acknowledge_received_data(length, stream)
+                if (state := self._streams.get(stream)) is not None:
+                    self._messages(stream, state, data, events)
+            case h2.events.TrailersReceived(stream_id=stream, headers=headers):
+                events.append(Ended(stream, _texts(headers)))
+            case h2.events.StreamEnded(stream_id=stream):
+                state = self._streams.get(stream)
+                if state is not None and state.framer.midway:
+                    self.reset(stream)
+                    events.append(Broken(stream, CANCEL, "ended within a message"))
+                elif not (events and isinstance(events[-1], Ended) and events[-1].stream == stream):
+                    events.append(Ended(stream, {}))
+                if self.client:
+                    self.reset(stream)  # where this side has not ended, nobody listens to it any more
+            case h2.events.StreamReset(stream_id=stream, error_code=code):
+                self._streams.pop(stream, None)
+                events.append(Broken(stream, int(code), "reset by the peer"))
+            case _:
+                pass  # windows, settings and pings are h2's own business
+
+    def _messages(self, stream: int, state: _Stream, data: bytes, events: list[Event]) -> None:
+        state.framer.feed(data)
+        try:
+            while (message := state.framer.next()) is not None:
+                events.append(Received(stream, message))
+        except WireError as fault:
+            self.reset(stream)
+            events.append(Broken(stream, CANCEL, str(fault)))
+
+    def _pump(self, stream: int) -> None:
+        """Hand over what the windows allow."""
+        state = self._streams.get(stream)
+        if state is None:
+            return
+        while state.queue:
+            message = state.queue[0]
+            try:
+                room = min(self._h2.local_flow_control_window(stream), self._h2.max_outbound_frame_size)
+            except h2.exceptions.ProtocolError:  # closed by the peer in this very input
+                self._done(stream)
+                return
+            size = min(room, len(message.data) - message.offset)
+            if size <= 0:
+                return
+            part = message.data[message.offset : message.offset + size]
+            self._h2.send_data(stream, part)
+            message.offset += size
+            state.queued -= size
+            message.chunks.append(self._emit(self._h2.data_to_send()))
+            if message.offset == len(message.data):
+                state.queue.popleft()
+        if state.trailers is not None:
+            if state.trailers:
+                self._h2.send_headers(stream, state.trailers, end_stream=True)
+                self._done(stream)
+            else:
+                self._h2.end_stream(stream)
+                state.trailers = None
+            self._flush()
+
+    def _done(self, stream: int) -> None:
+        self._streams.pop(stream, None)
+
+    def _flush(self) -> None:
+        if data := self._h2.data_to_send():
+            self._emit(data)
+
+
+def _texts(headers: object) -> dict[str, str]:
+    """Headers by name; the first of equals counts."""
+    texts: dict[str, str] = {}
+    for name, value in headers or ():  # type: ignore[attr-defined]
+        texts.setdefault(str(name), str(value))
+    return texts
