Guard the loop against a descriptor that nobody waits for, and test gRPC and the edges

Seen: with all client connections of the budget in use, the process would have ended with FileExistsError at the next accept. Cause: loop.py, _wake, the line `self._epoll.modify(fd, wanted)` with an empty `wanted` left the descriptor in epoll while our own mask said it was not there, so the next wait registered it again. Found by the new test of a full table; a probe of the two masks showed it. It also hits a paused reader. Now such a descriptor is taken out of epoll.

Also: Place ends with DEADLINE_EXCEEDED where the module's failure comes in the last 20 ms of the call's time (it answers just before the end on purpose).

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -305,7 +305,7 @@
     def take(self, data: bytes) -> None:
         for event in self.h2.receive(data):
             if isinstance(event, http2.Ended):
-                self.status[event.stream] = event.trailers
+                self.status.setdefault(event.stream, event.trailers)
             elif isinstance(event, http2.Opened) and "grpc-status" in event.headers:
                 self.status[event.stream] = event.headers
             elif isinstance(event, http2.Received):
@@ -362,7 +362,11 @@
 
     def tell(self, index: int, lifecycle: str) -> None:
         """A change of the list."""
-        entry = read_entry(self.entry(index, lifecycle), self.service.monotonic_us)
+        self.tell_entry(self.entry(index, lifecycle))
+
+    def tell_entry(self, value: dict[str, Any]) -> None:
+        """A change of the list, as the change log words it."""
+        entry = read_entry(value, self.service.monotonic_us)
         self.service.core.inbox.append(ListChange(False, 2, [entry]))
 
     def join(self, front: str) -> Any:
--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,216 @@
+"""Configuration, change log, log and the process itself."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable, Generator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.standins import CONFIG, HOST, LIMIT_S, World
+from thornshelf import changelog, syslog
+from thornshelf.changelog import ChangeLog
+from thornshelf.config import ConfigError, read_config
+from thornshelf.core import ListChange
+from thornshelf.loop import Loop, Stream, Wait
+from thornshelf.loop.loop import IN
+from thornshelf.syslog import Syslog
+
+ROOT = Path(__file__).parent.parent
+
+
+def changed(tmp_path: Path, change: Callable[[dict[str, Any]], object]) -> dict[str, str]:
+    """The variables of a start with a changed copy of the example."""
+    value = json.loads(CONFIG.read_text())
+    change(value)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(value))
+    return {"LB_CONFIG": str(path)}
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        (lambda v: v.update(listen="nowhere"), "listen"),
+        (lambda v: v.update(changelog="x:y"), "changelog"),
+        (lambda v: v.update(seed="not hex"), "seed"),
+        (lambda v: v.update(known=[]), "known"),
+        (lambda v: v["limits"].update(sockets="many"), "limits.sockets"),
+        (lambda v: v.pop("settings"), "settings"),
+        (lambda v: v["settings"]["limits"].pop("send-cap"), "limits.send-cap"),
+        (lambda v: v["settings"]["categories"][1].update({"effect": "odd"}), "categories.1.effect"),
+        (lambda v: v["settings"]["rules"].update({"drain-grace-s": "nan"}), "rules.drain-grace-s"),
+    ],
+)
+def test_a_bad_configuration_names_its_key(
+    tmp_path: Path, change: Callable[[dict[str, Any]], object], key: str
+) -> None:
+    with pytest.raises(ConfigError, match=key.replace(".", r"\.")):
+        read_config(changed(tmp_path, change))
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("grpc = 5", "grpc"),
+        ("[grpc]\nlisten = 5", "grpc.listen"),
+        ("[grpc]\nnodes = [5]", "grpc.nodes"),
+        ("[grpc]\nlisen = ''", "grpc.lisen"),
+        ("[syslog]\ncollector = 'x'", "syslog.collector"),
+        ("[", "no TOML"),
+    ],
+)
+def test_a_bad_operator_file_names_its_key(tmp_path: Path, text: str, key: str) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    with pytest.raises(ConfigError, match=key.replace(".", r"\.")):
+        read_config({"LB_CONFIG": str(CONFIG)}, str(path))
+
+
+def test_the_operator_files_of_the_repository_are_good() -> None:
+    config = read_config({"LB_CONFIG": str(CONFIG)}, str(ROOT / "deploy" / "grpc.toml"))
+    assert config.grpc.listen is not None and not config.grpc.speaks("s-00000001")
+    assert read_config({"LB_CONFIG": str(CONFIG), "LB_LISTEN": "127.0.0.2:5"}).listen == ("127.0.0.2", 5)
+
+
+def start(environment: dict[str, str]) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "thornshelf"], cwd=ROOT, env={**os.environ, **environment},
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+
+
+def test_the_process_ends_with_a_plain_message_or_on_sigterm(tmp_path: Path) -> None:
+    with start({"LB_CONFIG": str(tmp_path / "none.json")}) as process:
+        _, said = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 2
+    assert said.startswith("thornshelf: LB_CONFIG: ") and said.count("\n") == 1
+    with start({"LB_CONFIG": str(CONFIG), "LB_LISTEN": f"{HOST}:0"}) as process:
+        assert process.stdout is not None and " start [" in process.stdout.readline()
+        process.send_signal(signal.SIGTERM)
+        rest, said = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 0 and " stop [" in rest and not said
+
+
+class Feed:
+    """A change log whose answers are scripted: bytes for each request, or None to say nothing."""
+
+    def __init__(self, loop: Loop, script: list[bytes | None]) -> None:
+        self.loop, self.script = loop, script
+        self.asked: list[str] = []
+        self.sock = socket.create_server((HOST, 0))
+        self.sock.setblocking(False)
+        loop.spawn(self._accept())
+
+    def _accept(self) -> Generator[Wait, int, None]:
+        while True:
+            yield Wait(self.sock.fileno(), IN)
+            sock, _ = self.sock.accept()
+            self.loop.spawn(self._serve(Stream(self.loop, sock, "dispatcher")))
+
+    def _serve(self, stream: Stream) -> Generator[Wait, int, None]:
+        while data := (yield from stream.read()):
+            self.asked.append(data.split(b" ")[1].decode())
+            answer = self.script.pop(0) if self.script else None
+            if answer is not None:
+                stream.send(answer)
+                if b"chunked" not in answer and b"\r\n\r\n{" not in answer:
+                    stream.end()
+
+
+def http(value: object) -> bytes:
+    body = json.dumps(value).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def event(seq: int, name: str) -> dict[str, object]:
+    node = {"instanceId": name, "hostPort": "127.0.0.1:9", "lifecycle": "in_service", "startedAtMs": 0}
+    return {"seq": seq, "fleet": {"generation": seq, "reset": False, "instances": [node]}}
+
+
+def test_the_change_log_goes_on_after_breaks_silence_and_garbage(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name, value in (("POLL_MS", 50), ("SILENCE_US", 50_000), ("PAUSE_US", 2_000)):
+        monkeypatch.setattr(changelog, name, value)
+    world = World(nodes=0)
+    feed = Feed(
+        world.loop,
+        [
+            http({"seq": 4, "results": [event(4, "a")]}),
+            http({"seq": 4, "results": []}),  # time ran out: nothing new
+            http({"seq": 6, "results": [event(4, "again"), event(5, "b"), event(6, "c")]}),
+            b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{",  # silent midway
+            b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+            b"no HTTP at all\r\n\r\n",
+            None,  # silent from the start
+            http({"seq": 7, "results": [{"seq": 7, "fleet": {"instances": 5}}]}),  # unreadable: asked again
+            http({"seq": 7, "results": [event(7, "d")]}),
+        ],
+    )
+    told: list[ListChange] = []
+    follower = ChangeLog(world.loop, feed.sock.getsockname(), 3, lambda us: us, told.append, lambda *_: None)
+    world.loop.spawn(follower.run())
+    world.until(lambda: len(told) == 4)
+    feed.sock.close()
+    assert [change.entries[0].name for change in told] == ["a", "b", "c", "d"]
+    since = [int(path.partition("since=")[2].partition("&")[0]) for path in feed.asked]
+    assert since[:9] == [3, 4, 4, 6, 6, 6, 6, 6, 6]
+
+
+def test_the_log_never_blocks_and_says_what_it_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
+    reader, writer = os.pipe()
+    monkeypatch.setattr(syslog, "STDOUT", writer)
+    loop = Loop()
+    log = Syslog(loop, "n0", "thornshelf", 0)
+    for number in range(6000):  # far more than a pipe and the buffer hold, and nobody reads
+        log(6, "flood", {"number": number, "odd": 'a"]\\'}, "x" * 60)
+        log.flush()
+    got = b""
+    os.set_blocking(reader, False)
+    while b'dropped="' not in got:
+        try:
+            got += os.read(reader, 1 << 16)
+        except BlockingIOError:
+            log.flush()
+    assert b'[thornshelf@32473 number="0" odd="a\\"\\]\\\\"] ' in got.splitlines()[0]
+    os.close(reader)
+    os.close(writer)
+    loop.close()
+
+
+def test_the_log_goes_to_a_collector() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as collector:
+        collector.bind((HOST, 0))
+        collector.settimeout(LIMIT_S)
+        loop = Loop()
+        log = Syslog(loop, "n0", "thornshelf", 0, collector.getsockname())
+        log(4, "bad-line", {"peer": HOST}, "two\nlines")
+        line = collector.recv(4096)
+    assert line.startswith(b"<28>1 ") and line.endswith(b'[thornshelf@32473 peer="127.0.0.1"] two lines')
+    loop.close()
+
+
+def test_a_coroutines_fault_costs_itself() -> None:
+    loop = Loop()
+    faults: list[BaseException] = []
+    loop.on_fault = faults.append
+
+    def bad() -> Generator[Wait, int, None]:
+        yield Wait(until=loop.now)
+        raise ValueError("mine")
+
+    def good() -> Generator[Wait, int, None]:
+        yield Wait(until=loop.now + 2000)
+        loop.stop()
+
+    loop.spawn(bad())
+    loop.spawn(good())
+    loop.run()
+    assert [str(fault) for fault in faults] == ["mine"]
+    loop.close()
--- /dev/null
+++ b/tests/test_grpc.py
@@ -0,0 +1,263 @@
+"""gRPC beyond what both wires share: status codes, time-outs, RST_STREAM, GOAWAY, flow control, grpcio."""
+
+from __future__ import annotations
+
+import queue
+from collections.abc import Callable, Iterator
+from concurrent import futures
+from typing import Any
+
+import grpc as grpcio
+import pytest
+from h2.settings import SettingCodes
+
+from tests.standins import DESCRIPTION, GRPC, JSON, Conduct, World
+from thornshelf.loop import Chunk
+from thornshelf.wire import grpc, http2
+from thornshelf.wire import placement_pb2 as pb
+
+ONCE_ONLY = "ledger-batch"
+
+
+def place(world: World, conduct: Conduct, task_class: str = "lookup", **headers: str) -> dict[str, str]:
+    """A unary call and the trailers it ends with."""
+    client = world.client
+    call = client.open("Place", **headers)
+    client.h2.send(call, grpc.frame(client.message(5, conduct, task_class)))
+    client.h2.finish(call, [])
+    world.until(lambda: call in client.status)
+    return dict(client.status[call])
+
+
+@pytest.mark.parametrize(
+    ("conduct", "task_class", "status"),
+    [
+        (Conduct.RUN, ONCE_ONLY, grpc.OK),
+        (Conduct.FULL, "lookup", grpc.RESOURCE_EXHAUSTED),
+        (Conduct.CUT, ONCE_ONLY, grpc.ABORTED),
+        (Conduct.RUN, "no-such-class", grpc.INVALID_ARGUMENT),
+    ],
+)
+def test_place_tells_its_outcome_by_status(conduct: Conduct, task_class: str, status: int) -> None:
+    world = World(GRPC, GRPC)
+    assert place(world, conduct, task_class)["grpc-status"] == str(status)
+    assert world.client.heard == ({5: [("placed", DESCRIPTION)]} if status == grpc.OK else {})
+
+
+def test_grpc_timeout_ends_the_call_and_gives_the_offer_up() -> None:
+    world = World(GRPC, GRPC)
+    trailers = place(world, Conduct.SILENT, grpc_timeout="150m")
+    assert trailers["grpc-status"] == str(grpc.DEADLINE_EXCEEDED)
+    world.until(lambda: any(("release", 5) in one.seen for one in world.nodes))
+    client = world.client
+    client.call = client.open("Dispatch", grpc_timeout="100m")
+    client.ask(6, Conduct.SILENT)
+    world.until(lambda: client.call in client.status)
+    assert client.status[client.call]["grpc-status"] == str(grpc.DEADLINE_EXCEEDED)
+    world.until(lambda: any(("release", 6) in one.seen for one in world.nodes))
+
+
+@pytest.mark.parametrize(
+    ("method", "headers", "status"),
+    [
+        ("NoSuch", {}, grpc.UNIMPLEMENTED),
+        ("Dispatch", {"grpc_timeout": "soon"}, grpc.INVALID_ARGUMENT),
+        ("Dispatch", {"grpc_encoding": "gzip"}, grpc.UNIMPLEMENTED),
+    ],
+)
+def test_calls_that_are_not_taken(method: str, headers: dict[str, str], status: int) -> None:
+    world = World(GRPC, GRPC)
+    call = world.client.open(method, **headers)
+    world.until(lambda: call in world.client.status)
+    assert world.client.status[call]["grpc-status"] == str(status)
+    world.client.ask(5, Conduct.RUN)  # the connection goes on
+    world.heard(5)
+
+
+def test_unreadable_message_ends_its_stream_alone() -> None:
+    world = World(GRPC, GRPC)
+    call = world.client.open("Dispatch")
+    world.client.h2.send(call, b"\x00\x00\x00\x00\x02\xff\xff")
+    world.until(lambda: call in world.client.status)
+    assert world.client.status[call]["grpc-status"] == str(grpc.INTERNAL)
+    world.client.ask(5, Conduct.RUN)
+    world.heard(5)
+
+
+def test_rst_stream_by_a_client_gives_up_its_open_tasks() -> None:
+    world = World(GRPC, GRPC)
+    world.client.ask(5, Conduct.SILENT)
+    world.until(lambda: world.offers(5) == 1)
+    world.client.h2.reset(world.client.call)
+    world.until(lambda: any(("release", 5) in one.seen for one in world.nodes))
+    assert world.service.core.open_count == 0
+
+
+def test_refused_stream_never_ran() -> None:
+    """REFUSED_STREAM proves that the offer was not looked at: even an unsafe task is then refused."""
+    world = World(GRPC, GRPC)
+    for node in world.nodes:
+        node.order = lambda kind, uid, description, say: say.h2.reset(  # type: ignore[method-assign]
+            say.stream, http2.REFUSED_STREAM
+        )
+    world.client.ask(5, Conduct.RUN, ONCE_ONLY)
+    assert world.heard(5) == [("refused", None)]
+
+
+def test_goaway_by_a_node_lets_open_offers_end_and_sends_new_ones_elsewhere() -> None:
+    world = World(GRPC, GRPC, nodes=1)
+    node, usual = world.nodes[0], world.nodes[0].order
+    held: list[Any] = []
+
+    def order(kind: str, uid: int, description: bytes, say: Any) -> None:
+        if not held:
+            node.seen.append((kind, uid))
+            held.append(say)
+            say.h2.go_away()
+        else:
+            usual(kind, uid, description, say)
+
+    node.order = order  # type: ignore[method-assign]
+    world.client.ask(5, Conduct.RUN, ONCE_ONLY)
+    world.until(lambda: bool(held))
+    world.settle(20)
+    world.client.ask(6, Conduct.RUN, ONCE_ONLY)
+    world.settle(20)
+    assert node.offers(6) == 0  # it waits: the connection that goes away takes nothing new
+    held[0].bind(5)
+    assert world.heard(5) == world.heard(6) == [("placed", DESCRIPTION)]
+    assert len(node.streams) == 2 and node.offers(5) == 1
+
+
+def test_ending_dispatcher_answers_what_is_open_and_goes_away() -> None:
+    world = World(GRPC, GRPC)
+    world.client.ask(5, Conduct.SILENT, left=1500)
+    world.until(lambda: world.offers(5) == 1)
+    world.service.end()
+    assert world.heard(5) == [("failed", None)]
+    world.until(lambda: world.client.closed or not world.service.core.open_count)
+
+
+def test_flow_control_sends_no_more_than_the_windows_allow() -> None:
+    pipes: dict[bool, bytearray] = {True: bytearray(), False: bytearray()}
+
+    def emit(client: bool) -> Callable[[bytes], Chunk]:
+        def take(data: bytes) -> Chunk:
+            pipes[client] += data
+            return Chunk(data)
+
+        return take
+
+    def carry(to: http2.Http2) -> list[http2.Event]:
+        data = bytes(pipes[not to.client])
+        pipes[not to.client].clear()
+        return to.receive(data)
+
+    client, server = http2.Http2(True, emit(True)), http2.Http2(False, emit(False))
+    client._h2.update_settings({SettingCodes.INITIAL_WINDOW_SIZE: 10})
+    stream = client.call([(":method", "POST"), (":scheme", "http"), (":path", "/"), (":authority", "a")])
+    carry(server)
+    carry(client)
+    server.respond(stream, [(":status", "200")])
+    sent = server.send(stream, grpc.frame(pb.Binding(description=b"x" * 100)))
+    blocked = server.send(stream, grpc.frame(pb.Binding(description=b"y")))
+    assert sent.offset == 10 and not sent.whole
+    assert server.retract(stream, blocked) and not server.retract(stream, sent)
+    received: list[http2.Event] = []
+    for _ in range(40):
+        received += carry(client)
+        carry(server)
+    messages = [event.data for event in received if isinstance(event, http2.Received)]
+    assert [pb.Binding.FromString(data).description for data in messages] == [b"x" * 100]
+
+
+def serve_from_thread(world: World, work: Callable[[], Any]) -> Any:
+    """Run grpcio's blocking calls in a thread while the loop turns here."""
+    with futures.ThreadPoolExecutor(1) as pool:
+        future = pool.submit(work)
+        world.until(future.done)
+        return future.result()
+
+
+def test_grpcio_client_and_our_front() -> None:
+    world = World(JSON, GRPC)
+    address = "%s:%d" % world.service.fronts[1].listener.address
+    ask = pb.Ask(uid=5, task_class=ONCE_ONLY, left_ms=8000, key=5, cores=1, memory=2, service=7)
+
+    def work() -> tuple[Any, ...]:
+        with grpcio.insecure_channel(address) as channel:
+            method = "/thornshelf.v1.Placement/"
+            place = channel.unary_unary(method + "Place", pb.Ask.SerializeToString, pb.Verdict.FromString)
+            check = channel.unary_unary(
+                method + "Check", pb.CheckRequest.SerializeToString, pb.CheckReply.FromString
+            )
+            dispatch = channel.stream_stream(
+                method + "Dispatch", pb.ClientMessage.SerializeToString, pb.Verdict.FromString
+            )
+            passed = check(pb.CheckRequest(), timeout=10).passed
+            ask.description = Conduct.RUN.value
+            placed = place(ask, timeout=10).binding.description
+            ask.uid, ask.description = 7, Conduct.SILENT.value
+            with pytest.raises(grpcio.RpcError) as late:
+                place(ask, timeout=0.3)
+            ask.uid, ask.description = 8, Conduct.END.value
+            verdicts = dispatch(iter([pb.ClientMessage(ask=ask)]), timeout=10)
+            kinds = [one.WhichOneof("kind") for one in verdicts]
+            ask.uid, ask.description = 6, Conduct.FULL.value
+            with pytest.raises(grpcio.RpcError) as refused:
+                place(ask, timeout=10)
+            return passed, placed, refused.value.code(), late.value.code(), kinds
+
+    assert serve_from_thread(world, work) == (
+        True,
+        DESCRIPTION,
+        grpcio.StatusCode.RESOURCE_EXHAUSTED,
+        grpcio.StatusCode.DEADLINE_EXCEEDED,
+        ["binding", "release"],
+    )
+
+
+class GrpcioNode(grpcio.GenericRpcHandler):  # type: ignore[misc]
+    """A node served by grpcio: it runs each task, ends it when told, and answers probes."""
+
+    def __init__(self) -> None:
+        self.orders: queue.Queue[tuple[str, int]] = queue.Queue()
+
+    def service(self, details: Any) -> Any:
+        if details.method.endswith("/Bind"):
+            return grpcio.stream_stream_rpc_method_handler(
+                self.bind, pb.NodeOrder.FromString, pb.NodeReport.SerializeToString
+            )
+        return grpcio.unary_unary_rpc_method_handler(
+            lambda request, context: pb.Load(fields={"x0": 1.0}),
+            pb.ProbeRequest.FromString,
+            pb.Load.SerializeToString,
+        )
+
+    def bind(self, orders: Iterator[pb.NodeOrder], context: Any) -> Iterator[pb.NodeReport]:
+        for order in orders:
+            self.orders.put((order.WhichOneof("kind") or "", order.uid))
+            if order.HasField("offer"):
+                yield pb.NodeReport(uid=order.uid, binding=pb.Binding(description=order.offer.description))
+            else:
+                yield pb.NodeReport(uid=order.uid, end=pb.End(outcome=pb.CANCELLED))
+
+
+def test_grpcio_server_as_a_node() -> None:
+    handler = GrpcioNode()
+    server = grpcio.server(futures.ThreadPoolExecutor(4), handlers=(handler,))
+    port = server.add_insecure_port("127.0.0.1:0")
+    server.start()
+    try:
+        world = World(JSON, GRPC, nodes=1)
+        world.nodes[0].port = port
+        world.tell(0, "in_service")  # the same name at grpcio's address
+        world.settle(10)
+        world.client.ask(5, Conduct.RUN, ONCE_ONLY)
+        assert world.heard(5) == [("placed", Conduct.RUN.value)]
+        world.service.core._nodes[1].probe()
+        world.client.give_up(5)
+        world.until(lambda: handler.orders.qsize() == 2)
+        assert [handler.orders.get(), handler.orders.get()] == [("offer", 5), ("release", 5)]
+    finally:
+        server.stop(None).wait(10)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,264 @@
+"""The platform's front and nodes on loopback: what only they have, and what is ordinary on sockets."""
+
+from __future__ import annotations
+
+import json
+import socket
+from typing import Any
+
+import pytest
+
+from glenshift import interface as api
+from tests.standins import DESCRIPTION, JSON, Conduct, World
+from thornshelf.core import Attempt
+from thornshelf.loop import Loop, Stream
+from thornshelf.nodes.base import BaseLink
+from thornshelf.wire import binary, jsonl
+
+ONCE_ONLY = "ledger-batch"
+PLACED, REFUSED, FAILED = ("placed", DESCRIPTION), ("refused", None), ("failed", None)
+
+
+def raw(world: World) -> socket.socket:
+    """A blocking client socket."""
+    sock = socket.create_connection(world.service.front.listener.address)
+    sock.settimeout(5.0)
+    return sock
+
+
+def launch(uid: int, conduct: Conduct) -> bytes:
+    meta = {"class": "lookup", "left": 8000, "extras": "cores:1;memory:2"}
+    value = {"kind": "launch", "uid": f"{uid:016x}", "meta": meta, "body": conduct.value.decode()}
+    return json.dumps(value).encode() + b"\n"
+
+
+def test_a_test_is_passed() -> None:
+    world = World()
+    world.client.send(b'{"kind":"check","uid":"0000000000000001","meta":{},"reason":0}\n')
+    assert world.heard(1) == [("checked", 1)]
+
+
+@pytest.mark.parametrize(
+    "line", [b"no json\n", b"[]\n", b'{"kind":"launch"}\n', b'{"uid":5}\n', b"\xff\xfe\n"]
+)
+def test_an_unreadable_line_costs_itself(line: bytes) -> None:
+    world = World()
+    world.client.send(line)
+    world.client.ask(5, Conduct.RUN)
+    assert world.heard(5) == [PLACED]
+    assert [entry[1] for entry in world.logged] == ["bad-line"]
+
+
+def test_an_endless_line_costs_its_connection_alone() -> None:
+    world = World()
+    other = world.join(JSON)
+    world.client.send(b"x" * (jsonl.MAX_MESSAGE + 1))
+    world.until(lambda: world.client.closed)
+    other.ask(5, Conduct.RUN)
+    world.until(lambda: 5 in other.heard)
+    assert [entry[1] for entry in world.logged] == ["bad-line"]
+
+
+def test_half_closed_and_reset_connections_give_up_what_is_open() -> None:
+    world = World()
+    for uid, end in ((5, "half"), (6, "reset")):
+        sock = raw(world)
+        sock.sendall(launch(uid, Conduct.SILENT))
+        world.until(lambda uid=uid: world.offers(uid) == 1)  # type: ignore[misc]
+        if end == "half":
+            sock.shutdown(socket.SHUT_WR)
+        else:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            sock.close()
+        world.until(lambda uid=uid: any(("release", uid) in n.seen for n in world.nodes))  # type: ignore[misc]
+        sock.close()
+    assert world.service.core.open_count == 0
+
+
+def test_a_full_table_closes_an_idle_connection_and_keeps_busy_ones() -> None:
+    """Guards against running out of descriptors: idle clients make room, those with open set-ups don't."""
+    world = World()
+    world.client.ask(5, Conduct.SILENT)
+    world.until(lambda: world.offers(5) == 1)
+    world.service.front.listener.budget.most = 2
+    idle = world.join(JSON)
+    world.settle(10)
+    third = world.join(JSON)
+    world.until(lambda: idle.closed)
+    third.ask(6, Conduct.RUN)
+    world.until(lambda: 6 in third.heard)
+    assert not world.client.closed and world.service.front.listener.budget.used == 2
+
+
+def test_a_new_node_at_the_address_of_one_that_is_gone() -> None:
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.RUN)
+    world.heard(5)
+    world.tell(0, "terminated")
+    assert world.heard(5, 2)[1][0] == "released"
+    entry = world.entry(0) | {"instanceId": "s-00000009"}
+    world.tell_entry(entry)
+    world.client.ask(6, Conduct.RUN)
+    assert world.heard(6) == [PLACED]
+
+
+def test_a_process_that_started_anew_holds_nothing() -> None:
+    """The list shows a later start under the same name: what stood there is over."""
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.RUN, ONCE_ONLY)
+    world.heard(5)
+    world.settle(5)
+    started = (world.loop.now + world.service._unix_offset_us) // 1000
+    world.tell_entry(world.entry(0, started=started))
+    assert world.heard(5, 2)[1][0] == "released"
+
+
+def test_a_refused_connection_never_ran() -> None:
+    world = World(nodes=1)
+    world.nodes[0].die()
+    world.client.ask(5, Conduct.RUN, ONCE_ONLY)
+    assert world.heard(5) == [REFUSED]  # an unsafe task may be refused only where nothing ran
+
+
+def test_a_late_answer_and_answers_for_unknown_tasks_change_nothing() -> None:
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.SILENT, left="200")
+    assert world.heard(5) == [FAILED]
+    stream = world.nodes[0].streams[0]
+    for uid in (5, 77):
+        stream.send(binary.encode(binary.ANSWER, uid, {binary.DESCRIPTION: b"late"}))
+        stream.send(binary.encode(binary.RELEASE, uid, {binary.CAUSE: b"\x10"}))
+    world.client.ask(6, Conduct.RUN)
+    world.heard(6)
+    assert world.client.heard == {5: [FAILED], 6: [PLACED]}
+
+
+def test_garbage_from_a_node_costs_its_connection() -> None:
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.SILENT, ONCE_ONLY)
+    world.until(lambda: world.offers(5) == 1)
+    world.nodes[0].streams[0].send(b"\xff\xff garbage")
+    assert world.heard(5) == [FAILED]  # it may have run
+    assert world.offers(5) == 1
+
+
+def test_a_release_waits_for_the_clients_next_connection() -> None:
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.RUN)
+    world.heard(5)
+    world.client.stream.close()
+    world.settle(10)
+    world.tell(0, "terminated")
+    world.settle(10)
+    late = world.join(JSON)
+    # a client that never heard the answer reads the release's cause as a refusal or failure
+    world.until(lambda: 5 in late.heard)
+
+
+def test_a_refusal_tells_when_to_come_again_within_the_limit() -> None:
+    world = World()
+    asked = world.service.core
+    for uid, wait, expected in ((5, 1.5, "1500"), (6, 99.0, "3000"), (7, None, None)):
+        world.client.ask(uid, Conduct.SILENT)
+        world.until(lambda uid=uid: uid in asked._tasks)  # type: ignore[misc]
+        asked._act(api.Refuse(asked._tasks[uid].number, wait))
+        assert world.heard(uid) == [("refused", expected)]
+
+
+def test_move_tells_the_client_and_the_node() -> None:
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.RUN)
+    world.heard(5)
+    core = world.service.core
+    core._act(api.Move(core._tasks[5].number))
+    world.until(lambda: ("release", 5) in world.nodes[0].seen and 5 not in core._tasks)
+    world.settle(10)
+    assert world.client.heard[5] == [PLACED]  # the move itself is no answer or release
+
+
+def test_one_attempt_in_flight_whatever_the_module_asks() -> None:
+    world = World()
+    world.client.ask(5, Conduct.SILENT)
+    world.until(lambda: world.offers(5) == 1)
+    core = world.service.core
+    for machine in (1, 2):
+        core._act(api.Offer(core._tasks[5].number, machine, None))
+    world.settle(20)
+    assert world.offers(5) == 1
+
+
+def test_sigterm_with_open_work_answers_it_first() -> None:
+    world = World()
+    world.client.ask(5, Conduct.SILENT, left="1200")
+    world.until(lambda: world.offers(5) == 1)
+    world.service.end()
+    world.loop.run()  # ends by itself, within the longest deadline
+    assert world.service.core.open_count == 0 and world.service.core.counts["failed"] == 1
+
+
+class SlowLink(BaseLink):
+    """A connection on which nothing has left yet."""
+
+    def offer(self, attempt: Attempt) -> None:
+        pass
+
+    def withdraw(self, uid: int) -> bool:
+        return uid % 2 == 0
+
+    def left(self, uid: int) -> bool:
+        return uid % 2 == 1
+
+
+def test_what_is_buffered_for_a_draining_node_is_called_back() -> None:
+    """Drains are measured to the first byte sent."""
+    world = World(nodes=1)
+    core = world.service.core
+    world.settle(5)
+    node: Any = core._nodes[1]
+    ours, theirs = socket.socketpair(socket.AF_UNIX)
+    with theirs:
+        node.link = SlowLink(node, _stream(world.loop, ours))
+        for uid in (4, 5):
+            node.offer(Attempt(uid, 0, "lookup", uid, b"", world.loop.now, world.loop.now + 10**7, 1))
+        assert [attempt.uid for attempt in node.drain()] == [4]
+        node.link = None
+    ours.close()
+
+
+def _stream(loop: Loop, sock: socket.socket) -> Stream:
+    """A stream over a pair of sockets; TCP's options don't apply to it."""
+    stream = Stream.__new__(Stream)
+    stream.loop, stream.sock = loop, sock
+    return stream
+
+
+def test_only_untouched_messages_can_be_called_back() -> None:
+    loop = Loop()
+    listener = socket.create_server(("127.0.0.1", 0))
+    ours = socket.create_connection(listener.getsockname())
+    theirs, _ = listener.accept()
+    stream = Stream(loop, ours, "peer")
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    chunks = [stream.send(bytes(60_000)) for _ in range(16)]
+    stream.flush()
+    assert chunks[0].sent > 0 and chunks[-1].sent == 0
+    assert stream.retract(chunks[-1]) and not stream.retract(chunks[0])
+    assert not stream.retract(chunks[-1])
+    total = 0
+    theirs.settimeout(5.0)
+    while total < 15 * 60_000:
+        loop.after(1000, lambda: None)
+        loop.turn()
+        total += len(theirs.recv(1 << 20))
+    assert total == 15 * 60_000 and stream.unsent == 0
+    stream.close()
+    theirs.close()
+    listener.close()
+    loop.close()
+
+
+def test_closed_connections_are_counted_back() -> None:
+    world = World()
+    for _ in range(3):
+        world.join(JSON).stream.close()
+    world.until(lambda: world.service.front.listener.budget.used == 1)
--- a/thornshelf/fronts/grpc.py
+++ b/thornshelf/fronts/grpc.py
@@ -15,6 +15,7 @@
 
 SERVICE = "/thornshelf.v1.Placement/"
 MARGIN_US = 3_000  # of a client's wait: the answer will be under way
+NEARLY_US = 20_000  # a task that fails so shortly before its call's end has failed for lack of time
 _OUTCOMES = {Outcome.OK: pb.ENDED, Outcome.CANCELLED: pb.CANCELLED}  # any other end: RESET
 _REASONS = {
     Reason.UNTOLD: pb.UNTOLD,
@@ -280,8 +281,11 @@
         self.session.end_early(self, grpc.RESOURCE_EXHAUSTED, "refused", pushback)
 
     def fail(self, uid: int) -> None:
-        """Failed."""
-        self.session.end_early(self, grpc.ABORTED, "failed: it may have run")
+        """Failed; the module answers just before the time is up."""
+        if self.until_us is not None and self.loop.now >= self.until_us - NEARLY_US:
+            self.expire()
+        else:
+            self.session.end_early(self, grpc.ABORTED, "failed: it may have run")
 
     def release(self, uid: int, outcome: Outcome, reason: Reason) -> None:
         """Not reached: a call that is over is no owner, and one that is not has no task that stands."""
--- a/thornshelf/loop/loop.py
+++ b/thornshelf/loop/loop.py
@@ -189,7 +189,7 @@
                 woken = True
         if not woken:  # nobody waits for this any more: don't be told again
             wanted = (IN if watch.reader else 0) | (OUT if watch.writer else 0)
-            if mask & _FAULT:
+            if mask & _FAULT or not wanted:  # epoll tells of faults even where nothing is asked for
                 self._epoll.unregister(fd)
                 watch.mask = 0
             elif wanted != watch.mask:
