--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,13 +4,14 @@
 
 import json
 import socket
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from glenshift import interface as api
 from tests.standins import DESCRIPTION, JSON, Conduct, World
-from thornshelf.core import Attempt
+from thornshelf.core import Attempt, Started
 from thornshelf.loop import Loop, Stream
 from thornshelf.nodes.base import BaseLink
 from thornshelf.wire import binary, jsonl
@@ -187,6 +188,47 @@
     assert world.offers(5) == 1
 
 
+def test_a_fault_in_the_module_costs_neither_the_process_nor_the_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = World()
+    core = world.service.core
+    usual = core.placer.handle
+
+    def fault(now: float, events: Any) -> Any:
+        core.placer.out = []
+        raise KeyError("odd")
+
+    monkeypatch.setattr(core.placer, "handle", fault)
+    world.client.ask(5, Conduct.RUN, left="100")
+    assert world.heard(5) == [FAILED]
+    monkeypatch.setattr(core.placer, "handle", usual)
+    world.client.ask(6, Conduct.RUN)
+    assert world.heard(6) == [PLACED]
+    assert {"module-fault", "overdue"} <= {entry[1] for entry in world.logged}
+
+
+def test_what_starts_for_a_connection_that_has_just_closed_is_ended() -> None:
+    """Guards against a task that stands and nobody knows of: its owner would ask anew and start it twice."""
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.SILENT, ONCE_ONLY)
+    world.until(lambda: world.offers(5) == 1)
+    core = world.service.core
+    core._tasks[5].owner.stream.close()  # type: ignore[union-attr]
+    core.inbox.appendleft(Started(1, 5, b"it runs"))
+    world.until(lambda: ("release", 5) in world.nodes[0].seen)
+    assert world.client.heard == {}
+
+
+def test_no_more_open_requests_than_the_settings_allow() -> None:
+    world = World()
+    core = world.service.core
+    core.settings = replace(core.settings, limits=replace(core.settings.limits, open_requests=1))
+    world.client.ask(5, Conduct.SILENT)
+    world.client.ask(6, Conduct.RUN)
+    assert world.heard(6) == [REFUSED]
+
+
 def test_sigterm_with_open_work_answers_it_first() -> None:
     world = World()
     world.client.ask(5, Conduct.SILENT, left="1200")
@@ -257,6 +299,19 @@
     loop.close()
 
 
+def test_a_broken_stream_holds_nothing_back() -> None:
+    """Guards against a reader that waits for room that never comes, as what was unsent counted on."""
+    world = World()
+    sock = raw(world)
+    world.until(lambda: len(world.service.front._connections) == 2)
+    stream = list(world.service.front._connections)[1].stream
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+    stream.send(bytes(300_000))
+    sock.close()
+    world.until(lambda: not stream.open)
+    assert len(world.service.front._connections) == 1
+
+
 def test_closed_connections_are_counted_back() -> None:
     world = World()
     for _ in range(3):
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import traceback
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -138,13 +139,29 @@
                     self._list(item)
         if self._events:
             events, self._events = self._events, []
-            for action in self.placer.handle(self.seconds(self.loop.now), events):
+            for action in self._decide(events):
                 self._act(action)
         return bool(self.inbox or self._events)
 
+    def _decide(self, events: list[api.Event]) -> list[api.Action]:
+        """The module's word. A fault in it must cost neither the process nor the other tasks.
+
+        A task that gets no answer for it is failed by ``_overdue``.
+        """
+        try:
+            return self.placer.handle(self.seconds(self.loop.now), events)
+        except Exception as fault:
+            text = "".join(traceback.format_exception(fault)).replace("\n", " | ")
+            self.log(3, "module-fault", {"type": type(fault).__name__}, text)
+            return self.placer.out
+
     # owners
 
     def _set_up(self, item: SetUp) -> None:
+        most = self.settings.limits.open_requests
+        if item.at is None and 0 < most <= self.open_count:
+            item.owner.refuse(item.uid, None)
+            return
         if item.uid in self._tasks:
             # Guards against a second answer: what is held under this id keeps its one answer.
             known = self._tasks[item.uid]
@@ -173,8 +190,18 @@
         self.counts["taken"] += 1
         self.open_count += 1
         self._owners.setdefault(item.owner, set()).add(item.uid)
+        self.loop.at(item.deadline_us, lambda: self._overdue(task))
         self._events.append(ask)
 
+    def _overdue(self, task: TaskRecord) -> None:
+        """The one final answer, should the module have given none by now."""
+        if task.state is State.OPEN:
+            self.log(3, "overdue", {"uid": f"{task.setup.uid:016x}"}, "no answer came from the module")
+            self.counts["failed"] += 1
+            if task.owner is not None:
+                task.owner.fail(task.setup.uid)
+            self._abandon(task)
+
     def _adopt(self, task: TaskRecord, ask: api.Ask, name: str) -> None:
         """A task that stands already: it wants no answer, but its release is owed."""
         machine = self._machine(name)
@@ -342,12 +369,15 @@
         if task.state is not State.OPEN:
             return
         task.machine, task.standing_us, task.state = item.machine, self.loop.now, State.STANDING
-        self.counts["answered"] += 1
         self._closed(task)
-        if task.owner is not None:
-            task.owner.answer(item.uid, item.description)
         lag = (self.loop.now - attempt.sent_us) / 1e6
         self._events.append(api.Placed(task.number, item.machine, attempt.number, lag))
+        if task.owner is None or not task.owner.alive:
+            # The connection closed in this very turn, which gives the set-up up: nobody would know of it.
+            self._end(task)
+            return
+        self.counts["answered"] += 1
+        task.owner.answer(item.uid, item.description)
 
     def _finished(self, item: Finished) -> None:
         task = self._tasks.get(item.uid)
@@ -357,6 +387,8 @@
             if attempt.machine == item.machine:
                 self._disarm(task)
                 task.attempt = None
+                if node := self._nodes.get(item.machine):
+                    node.let_go(item.uid)
                 self._outcome(task, attempt, item.outcome, item.reason, item.report)
                 self._drop(task)
             return
--- a/thornshelf/core/model.py
+++ b/thornshelf/core/model.py
@@ -16,6 +16,10 @@
 class Owner(Protocol):
     """Where a task's answers go: one connection or stream of a client."""
 
+    @property
+    def alive(self) -> bool:
+        """Its connection is open."""
+
     @property
     def lasting(self) -> bool:
         """It may be sent releases of tasks that were set up elsewhere."""
--- a/thornshelf/fronts/grpc.py
+++ b/thornshelf/fronts/grpc.py
@@ -127,6 +127,11 @@
         """A task that stood is stopped; its client should ask again."""
         raise NotImplementedError
 
+    @property
+    def alive(self) -> bool:
+        """Neither the call nor its connection is over."""
+        return not self.over and self.session.stream.open
+
     @property
     def peer(self) -> str:
         """The client's host."""
@@ -356,6 +361,7 @@
 
     def close(self) -> None:
         """The connection is over."""
+        self.http.close()
         for call in list(self.calls.values()):
             call.gone()
 
--- a/thornshelf/fronts/platform.py
+++ b/thornshelf/fronts/platform.py
@@ -13,6 +13,7 @@
 
 REFUSED, FAILED, UNREADABLE = 34, 41, 100
 _RELEASED = {Outcome.OK: 16, Outcome.CANCELLED: 31}  # any other end: 41
+MOST_REMEMBERED = 32  # releases, before those that have left are forgotten
 MARGIN_US = 3_000  # of an owner's wait: its line was under way, and the answer will be
 
 
@@ -26,6 +27,11 @@
         self.open: set[int] = set()
         self.releases: dict[int, tuple[Chunk, Outcome, Reason]] = {}
 
+    @property
+    def alive(self) -> bool:
+        """Its connection is open."""
+        return self.stream.open
+
     @property
     def peer(self) -> str:
         """The client's host."""
@@ -50,11 +56,9 @@
     def release(self, uid: int, outcome: Outcome, reason: Reason) -> None:
         """The task is over."""
         line = jsonl.encode_line("stop", uid, reason=_RELEASED.get(outcome, FAILED))
-        if self.stream.unsent:  # only then may it be that the line never leaves
+        if len(self.releases) >= MOST_REMEMBERED:
             self.releases = {key: one for key, one in self.releases.items() if not one[0].whole}
         self.releases[uid] = (self.stream.send(line), outcome, reason)
-        if len(self.releases) > 64 and not self.stream.unsent:
-            self.releases.clear()
 
     def move(self, uid: int) -> None:
         """The task is stopped, to be asked for again."""
--- a/thornshelf/loop/loop.py
+++ b/thornshelf/loop/loop.py
@@ -233,7 +233,14 @@
             return
         task.wait = wait
         if wait.fd >= 0:
-            self._watch(task, wait)
+            try:
+                self._watch(task, wait)
+            except OSError as fault:  # the descriptor is closed: that, too, is the one coroutine's fault
+                self.cancel(task)
+                if self.on_fault is None:
+                    raise
+                self.on_fault(fault)
+                return
         if wait.until is not None:
             task.timer = self.at(wait.until, lambda: self._expire(task))
 
--- a/thornshelf/loop/stream.py
+++ b/thornshelf/loop/stream.py
@@ -128,7 +128,8 @@
             except (BlockingIOError, InterruptedError):
                 return False
             except OSError:
-                self._out.clear()  # the reader learns of the break
+                self._out.clear()  # the reader learns of the break, unless it waits for room
+                self.unsent = 0
                 if self._ending:
                     self.close()
                 return True
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -150,6 +150,7 @@
     def let_go(self, uid: int) -> None:
         """The task is over."""
         self.standing.discard(uid)
+        self.out.pop(uid, None)
 
     def probe(self) -> None:
         """Ask for a report."""
--- a/thornshelf/wire/http2.py
+++ b/thornshelf/wire/http2.py
@@ -178,6 +178,10 @@
                 return  # it is closed already
             self._flush()
 
+    def close(self) -> None:
+        """The connection is over: nothing more is sent."""
+        self._streams.clear()
+
     def go_away(self) -> None:
         """Take no new streams; those that are open go on, which h2's own close would not allow."""
         frame = GoAwayFrame(0, last_stream_id=self._last_seen, error_code=0)
@@ -200,6 +204,7 @@
                 told = self._h2.receive_data(piece)
             except (h2.exceptions.ProtocolError, ValueError) as fault:
                 self._flush()  # h2 has its word to the peer ready
+                self.close()
                 raise WireError(f"no HTTP/2: {type(fault).__name__} {fault}", fatal=True) from None
             for event in told:
                 self._take(event, events)
@@ -263,16 +268,18 @@
 
     def _pump(self, stream: int) -> None:
         """Hand over what the windows allow."""
+        try:
+            self._hand_over(stream)
+        except h2.exceptions.ProtocolError:  # closed by the peer in this very input
+            self._done(stream)
+
+    def _hand_over(self, stream: int) -> None:
         state = self._streams.get(stream)
         if state is None:
             return
         while state.queue:
             message = state.queue[0]
-            try:
-                room = min(self._h2.local_flow_control_window(stream), self._h2.max_outbound_frame_size)
-            except h2.exceptions.ProtocolError:  # closed by the peer in this very input
-                self._done(stream)
-                return
+            room = min(self._h2.local_flow_control_window(stream), self._h2.max_outbound_frame_size)
             size = min(room, len(message.data) - message.offset)
             if size <= 0:
                 return
