Connect to each node as soon as it is listed, so that news of its tasks is not lost

The 247 missing are the 247 tasks handed over at the start: of each only the use of cores came. A node tells both at once, and with no connection open only the last word waited for one. nodes/base.py connected only when a task needed it, so the module planned memory by its prior until those tasks ended, and filled nodes too far.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -114,6 +114,20 @@
     assert world.heard(5, 2)[1][0] == "released"
 
 
+def test_a_node_is_connected_to_before_it_has_a_task() -> None:
+    """What it tells of tasks that are handed over goes to an open connection, and else is lost."""
+    world = World(nodes=1)
+    world.until(lambda: bool(world.nodes[0].streams))
+    world.client.ask(5, Conduct.RUN, at="s-00000001")
+    world.until(lambda: 5 in world.service.core._tasks)
+    for name in (b"use_cpu", b"use_ram"):
+        note = {binary.NOTE_NAME: name, binary.FIGURE: b"0.25"}
+        world.nodes[0].streams[0].send(binary.encode(binary.NOTE, 5, note))
+    placer = world.service.core.placer
+    world.until(lambda: [a.use for r in placer.requests.values() for a in r.attempts] == [[0.25, 0.25]])
+    assert len(world.nodes[0].streams) == 1
+
+
 def test_a_refused_connection_never_ran() -> None:
     world = World(nodes=1)
     world.nodes[0].die()
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -105,7 +105,11 @@
         self.link: BaseLink | None = None
         self.closed = False
         self.draining = entry.health is Health.DRAINING
-        self._task: Task | None = None
+        # Guards against lost news: what a node tells of the tasks that it is handed over with (their use of
+        # cores and memory) goes to an open connection, and only the last word of it waits for one. So the
+        # connection is there before they are.
+        self._greeting = True
+        self._task: Task | None = loop.spawn(self._serve())
         self._probe: tuple[int, Timer] | None = None
         self._probe_wanted = False
 
@@ -233,7 +237,8 @@
         """Connect, serve, and again for as long as something is wanted there."""
         refused = False  # the last connection broke, and the next was refused
         broke = False
-        while not self.closed and not self.idle:
+        while not self.closed and (self._greeting or not self.idle):
+            self._greeting = False
             timeout = self.core.settings.limits.connect_timeout_s or 0.25
             began = self.loop.now
             until = began + int(timeout * 1e6)
