Take a described release with cause 16 as answer and end in one, not as a reset

A trace of the messages showed them all as a release with cause 16 before any answer, for tasks with 15 to 500 ms left to live, and, unlike every other release, with a description. The same task broke at three nodes in turn, each taking a strike for it (a second shuts a node out), and a ledger-batch task failed.

Cause: nodes/platform.py, _take, looked such a release up in _BEFORE and fell through to BROKEN, as PROTOCOL's 'another cause before the answer' words it. The simulator's event there is `S` with `last` and no ACCEPTED: the task has ended. Without a description it is still a reset.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 from thornshelf.loop import Loop, Stream
 from thornshelf.nodes.base import BaseLink
 from thornshelf.wire import binary, jsonl
+from thornshelf.wire import placement_pb2 as pb
 
 ONCE_ONLY = "ledger-batch"
 PLACED, REFUSED, FAILED = ("placed", DESCRIPTION), ("refused", None), ("failed", None)
@@ -128,6 +129,23 @@
     assert len(world.nodes[0].streams) == 1
 
 
+@pytest.mark.parametrize(
+    ("described", "heard"), [(True, [PLACED, ("released", pb.ENDED)]), (False, [FAILED])]
+)
+def test_a_task_whose_time_is_over_as_it_starts(described: bool, heard: list[tuple[Any, ...]]) -> None:
+    """The node's release with cause 16 is answer and end in one, if it has a description; else a reset."""
+    world = World()
+    world.client.ask(5, Conduct.SILENT, ONCE_ONLY)
+    world.until(lambda: world.offers(5) == 1)
+    values = {binary.CAUSE: b"\x10", binary.REPORT: b"x0:3;x1:4"}
+    if described:
+        values[binary.DESCRIPTION] = DESCRIPTION
+    holder = next(one for one in world.nodes if one.seen)
+    holder.streams[0].send(binary.encode(binary.RELEASE, 5, values))
+    assert world.heard(5, len(heard)) == heard
+    assert world.offers(5) == 1
+
+
 def test_a_refused_connection_never_ran() -> None:
     world = World(nodes=1)
     world.nodes[0].die()
--- a/thornshelf/nodes/platform.py
+++ b/thornshelf/nodes/platform.py
@@ -9,7 +9,7 @@
 from thornshelf.wire import binary
 from thornshelf.wire.errors import WireError
 
-GIVEN_UP = 16
+GIVEN_UP = ENDED = 16
 _BEFORE = {34: Outcome.REFUSED, 47: Outcome.ERROR, 102: Outcome.NOT_SENT}  # any other cause: it broke
 _AFTER = {16: Outcome.OK, 31: Outcome.CANCELLED}
 _REASONS = {
@@ -83,15 +83,21 @@
     def _release(self, uid: int) -> None:
         self.stream.send(binary.encode(binary.RELEASE, uid, {binary.CAUSE: bytes((GIVEN_UP,))}))
 
+    def _started(self, uid: int, description: bytes) -> None:
+        self._chunks.pop(uid, None)
+        self.node.started(uid)
+        self.node.core.inbox.append(Started(self.node.machine, uid, description))
+
     def _take(self, message: binary.Message) -> None:
         node, uid, values = self.node, message.uid, message.values
         match message.type:
             case binary.ANSWER:
-                self._chunks.pop(uid, None)
-                node.started(uid)
-                description = values.get(binary.DESCRIPTION, b"")
-                node.core.inbox.append(Started(node.machine, uid, description))
+                self._started(uid, values.get(binary.DESCRIPTION, b""))
             case binary.RELEASE:
+                if uid in self._chunks and message.cause == ENDED and binary.DESCRIPTION in values:
+                    # Guards against trying elsewhere what has run: a task whose time is over as it starts is
+                    # answered and released by this one message, which alone carries a description.
+                    self._started(uid, values[binary.DESCRIPTION])
                 before = self._chunks.pop(uid, None) is not None
                 cause = message.cause
                 table = _BEFORE if before else _AFTER
