Tell refused owners when to come again: after 1 s, within the settings' limit

What the module gives up on is answered at once, but brain.py, decline, sent a refusal without `wait`, so an owner had no word on when trying again makes sense.

--- a/glenshift/brain.py
+++ b/glenshift/brain.py
@@ -39,6 +39,7 @@
 SUSPECT_MAX_S = 8.0
 QUEUE_S = 0.4  # a machine whose line of offers was full is left alone so long
 SHORT_S = 2.0  # a shortage seen there is remembered so long
+AGAIN_S = 1.0  # a refused owner is told to stay away so long: before that little room comes free
 PATIENCE = 4.0  # an answer this many times later than they are of late is not coming
 DIGEST_POINTS = 0.004  # digests to peers may cost this much of the result
 PEER_LOST_S = 30.0  # a peer's last digest counts so long: its tasks run on when it is gone
@@ -434,7 +435,8 @@
             return
         request.open = False
         if self.repeat_allowed(request, None) and not any(a.live for a in request.attempts):
-            self.out.append(api.Refuse(request.ask.request))
+            again = min(AGAIN_S, self.s.limits.max_retry_after_s) if self.s.limits.retry_after else None
+            self.out.append(api.Refuse(request.ask.request, again))
         else:
             self.out.append(api.Fail(request.ask.request))
             for number, attempt in enumerate(request.attempts):
