Let only a refused connect prove a node dead, and guard hooks and timers from faults

Found by reading: connect returned None for any failure, and nodes/base.py took every failure before the time limit as a refusal (`refused = self.loop.now < until`). A full table of our own descriptors, or an unreachable network, would have released tasks that still run, and an unsafe one could have been started twice. connect now gives the error's number, and only ECONNREFUSED counts. A test fills the table.

A fault in a hook or a timer's call ended the process; it is logged now, as a coroutine's is, and what comes after it goes on (loop.py, _guard; tested).

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -212,8 +212,9 @@
         self.heard.setdefault(uid, []).append(what)
 
     def _run(self) -> Generator[Wait, int, None]:
-        stream = self.stream = yield from connect(self.loop, *self.address, self.loop.now + 5_000_000)
-        assert stream is not None
+        stream = yield from connect(self.loop, *self.address, self.loop.now + 5_000_000)
+        assert isinstance(stream, Stream)
+        self.stream = stream
         self.begin(stream)
         while data := (yield from stream.read()):
             self.take(data)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -209,8 +209,15 @@
         yield Wait(until=loop.now + 2000)
         loop.stop()
 
+    def hook() -> bool:
+        if not faults:
+            raise ValueError("a hook's")
+        return False
+
     loop.spawn(bad())
     loop.spawn(good())
+    loop.on_turn.append(hook)
+    loop.after(0, lambda: [][0])
     loop.run()
-    assert [str(fault) for fault in faults] == ["mine"]
+    assert [str(fault) for fault in faults] == ["list index out of range", "mine"]
     loop.close()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import socket
 from dataclasses import replace
@@ -146,6 +147,23 @@
     assert world.offers(5) == 1
 
 
+def test_our_own_full_table_proves_nothing_of_a_node(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against releasing what still runs: only a refused connect proves a process dead."""
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.RUN, ONCE_ONLY)
+    world.heard(5)
+
+    def full(*_: object) -> socket.socket:
+        raise OSError(errno.EMFILE, "full")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(socket, "socket", full)
+        world.nodes[0].break_streams()
+        world.settle()
+    assert world.client.heard[5] == [PLACED]
+    world.until(lambda: len(world.nodes[0].streams) == 2)
+
+
 def test_a_refused_connection_never_ran() -> None:
     world = World(nodes=1)
     world.nodes[0].die()
--- a/thornshelf/changelog.py
+++ b/thornshelf/changelog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Callable, Generator
 from typing import Any
 
@@ -99,8 +100,9 @@
         while True:
             stream = yield from connect(self.loop, *self.address, self.loop.now + CONNECT_US)
             told = self.since
-            why = "not connected"
-            if stream is not None:
+            if isinstance(stream, int):
+                why = f"not connected: {os.strerror(stream)}"
+            else:
                 try:
                     why = yield from self._poll(stream)
                 finally:
--- a/thornshelf/loop/loop.py
+++ b/thornshelf/loop/loop.py
@@ -157,18 +157,28 @@
             timer = heapq.heappop(self._timers)[2]
             if timer.call is not None:
                 call, timer.call = timer.call, None
-                call()
+                self._guard(call)
         while self._ready:
             task, value = self._ready.popleft()
             self._step(task, value)
         again = False
         for hook in self.on_turn:
-            again = hook() or again
+            again = self._guard(hook) or again
         ends, self._ends = self._ends, []
         for call in ends:
-            call()
+            self._guard(call)
         return again
 
+    def _guard(self, call: Callable[[], Any]) -> bool:
+        """A call whose fault, like a coroutine's, costs neither the process nor what comes after it."""
+        try:
+            return bool(call())
+        except Exception as fault:
+            if self.on_fault is None:
+                raise
+            self.on_fault(fault)
+            return True
+
     def _sleep_s(self) -> float:
         while self._timers and self._timers[0][2].call is None:
             heapq.heappop(self._timers)
--- a/thornshelf/loop/stream.py
+++ b/thornshelf/loop/stream.py
@@ -146,23 +146,24 @@
         return True
 
 
-def connect(loop: Loop, host: str, port: int, until: int | None) -> Generator[Wait, int, Stream | None]:
-    """A new connection, or None: refused or not up in time, so that nothing has been sent."""
+def connect(loop: Loop, host: str, port: int, until: int | None) -> Generator[Wait, int, Stream | int]:
+    """A new connection, or the number of the error that kept it from coming up: nothing has been sent.
+
+    Only ECONNREFUSED is the peer's own word; a full table of descriptors, say, proves nothing of the peer.
+    """
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    except OSError:
-        return None
+    except OSError as fault:
+        return fault.errno or errno.EIO
     sock.setblocking(False)
-    code = sock.connect_ex((host, port))
-    if code not in (0, errno.EINPROGRESS):
-        sock.close()
-        return None
-    fd, ready = sock.fileno(), False
+    fd, code = sock.fileno(), sock.connect_ex((host, port))
     try:
-        ready = bool((yield Wait(fd, OUT, until)))
-        ready = ready and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+        if code == errno.EINPROGRESS:
+            code = errno.ETIMEDOUT
+            if (yield Wait(fd, OUT, until)):
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     finally:
         loop.forget(fd)
-        if not ready:
+        if code:
             sock.close()
-    return Stream(loop, sock, f"{host}:{port}") if ready else None
+    return code or Stream(loop, sock, f"{host}:{port}")
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import errno
 from collections import deque
 from collections.abc import Generator
 
-from glenshift.interface import Health, Outcome, Reason, Report
+from glenshift.interface import Outcome, Reason, Report
 from thornshelf.core import Attempt, Dispatcher, Finished, NodeEntry, NodeLost, Probed
 from thornshelf.loop import Loop, Stream, Task, Timer, Wait
 from thornshelf.loop.stream import connect
@@ -104,7 +105,6 @@
         self.cuts: dict[int, None] = {}  # to be ended as soon as there is a connection
         self.link: BaseLink | None = None
         self.closed = False
-        self.draining = entry.health is Health.DRAINING
         # Guards against lost news: what a node tells of the tasks that it is handed over with (their use of
         # cores and memory) goes to an open connection, and only the last word of it waits for one. So the
         # connection is there before they are.
@@ -171,7 +171,6 @@
 
     def drain(self) -> list[Attempt]:
         """Nothing new from now on; what has not left is called back."""
-        self.draining = True
         kept = list(self.pending)
         self.pending.clear()
         for uid, attempt in list(self.out.items()):
@@ -235,18 +234,16 @@
 
     def _serve(self) -> Generator[Wait, int, None]:
         """Connect, serve, and again for as long as something is wanted there."""
-        refused = False  # the last connection broke, and the next was refused
-        broke = False
+        broke = False  # the last connection did, and it is not known yet whether the process still lives
         while not self.closed and (self._greeting or not self.idle):
             self._greeting = False
             timeout = self.core.settings.limits.connect_timeout_s or 0.25
             began = self.loop.now
             until = began + int(timeout * 1e6)
             stream = yield from connect(self.loop, self.host, self.port, until)
-            if stream is None:
-                refused = self.loop.now < until
+            if isinstance(stream, int):
                 self._not_connected()
-                if refused and (broke or self.standing):
+                if stream == errno.ECONNREFUSED and (broke or self.standing):
                     # Guards against waiting for the list: a refused connection proves the process dead, and
                     # a dying process cuts its tasks, whose releases are owed at once.
                     self.standing.clear()
