Send the log to collectors over TCP too, and report lost datagrams

syslog.py kept the three ways of a line in one class, and the number of datagrams that a collector refused was counted but never told. Now each way is a sink that takes lines while it doesn't block; what is lost is told in a line of its own. TCP counts its lines (RFC 6587), and a broken connection is made anew. `syslog.collector` names the transport: udp:host:port or tcp:host:port.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -64,6 +64,7 @@
         ("[grpc]\nnodes = [5]", "grpc.nodes"),
         ("[grpc]\nlisen = ''", "grpc.lisen"),
         ("[syslog]\ncollector = 'x'", "syslog.collector"),
+        ("[syslog]\ncollector = 'tcp:x'", "syslog.collector"),
         ("[", "no TOML"),
     ],
 )
@@ -189,13 +190,33 @@
         collector.bind((HOST, 0))
         collector.settimeout(LIMIT_S)
         loop = Loop()
-        log = Syslog(loop, "n0", "thornshelf", 0, collector.getsockname())
+        log = Syslog(loop, "n0", "thornshelf", 0, ("udp", collector.getsockname()))
         log(4, "bad-line", {"peer": HOST}, "two\nlines")
+        loop.turn()
         line = collector.recv(4096)
     assert line.startswith(b"<28>1 ") and line.endswith(b'[thornshelf@32473 peer="127.0.0.1"] two lines')
     loop.close()
 
 
+def test_the_log_goes_on_when_a_collectors_connection_breaks(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(syslog, "RECONNECT_US", 5_000)
+    with socket.create_server((HOST, 0)) as collector:
+        collector.settimeout(LIMIT_S)
+        world = World(nodes=0)
+        log = Syslog(world.loop, "n0", "thornshelf", 0, ("tcp", collector.getsockname()))
+        for number in range(2):
+            log(6, "test", {}, f"line {number}")
+            world.loop.turn()
+            world.settle(20)  # the connection waits in the backlog
+            theirs, _ = collector.accept()
+            theirs.settimeout(LIMIT_S)
+            world.settle(50)
+            length, _, line = theirs.recv(4096).partition(b" ")
+            assert int(length) == len(line) and line.endswith(b"test - line %d" % number)
+            theirs.close()
+            world.settle(50)
+
+
 def test_a_coroutines_fault_costs_itself() -> None:
     loop = Loop()
     faults: list[BaseException] = []
--- a/thornshelf/config.py
+++ b/thornshelf/config.py
@@ -44,7 +44,7 @@
     known: Mapping[str, Any]
     settings: api.Settings
     grpc: GrpcConfig = field(default_factory=GrpcConfig)
-    collector: tuple[str, int] | None = None
+    collector: tuple[str, tuple[str, int]] | None = None  # "udp" or "tcp", and where
 
 
 def read_address(value: object, key: str) -> tuple[str, int]:
@@ -131,7 +131,15 @@
     )
 
 
-def read_operator_file(path: str) -> tuple[GrpcConfig, tuple[str, int] | None]:
+def read_collector(value: object) -> tuple[str, tuple[str, int]]:
+    """udp:host:port or tcp:host:port."""
+    transport, _, address = value.partition(":") if isinstance(value, str) else ("", "", "")
+    if transport not in ("udp", "tcp"):
+        raise ConfigError(f"syslog.collector: not of the form udp:host:port or tcp:host:port: {value!r}")
+    return transport, read_address(address, "syslog.collector")
+
+
+def read_operator_file(path: str) -> tuple[GrpcConfig, tuple[str, tuple[str, int]] | None]:
     """The tables ``grpc`` and ``syslog`` of an operator's TOML file."""
     try:
         with open(path, "rb") as file:
@@ -160,5 +168,5 @@
             nodes=frozenset() if nodes == "all" else frozenset(nodes),
             all_nodes=nodes == "all",
         ),
-        None if collector is None else read_address(collector, "syslog.collector"),
+        None if collector is None else read_collector(collector),
     )
--- a/thornshelf/syslog.py
+++ b/thornshelf/syslog.py
@@ -5,73 +5,152 @@
 import os
 import socket
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Generator, Mapping
+from typing import Protocol
 
-from thornshelf.loop import Loop
+from thornshelf.loop import Loop, Stream, Wait
+from thornshelf.loop.stream import connect
 from thornshelf.wire import rfc5424
 
 MOST_HELD = 256 * 1024
+MOST_UNSENT = 64 * 1024  # handed to a collector's connection; the rest is held here
 RETRY_US = 20_000
+CONNECT_US = 1_000_000
+RECONNECT_US = 500_000
 STDOUT = 1
 
 
+class Sink(Protocol):
+    """Where lines go."""
+
+    def take(self, held: deque[bytes]) -> int:
+        """Take lines from the front while that doesn't block; gives the number of those lost."""
+
+
+class StandardOutput:
+    """A line each."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        os.set_blocking(STDOUT, False)
+
+    def take(self, held: deque[bytes]) -> int:
+        """Write what the pipe holds."""
+        while held or self._rest:
+            if not self._rest:
+                self._rest = b"".join(line + b"\n" for line in held)
+                held.clear()
+            try:
+                written = os.write(STDOUT, self._rest)
+            except BlockingIOError:
+                held.appendleft(self._rest[:-1])
+                self._rest = b""
+                break
+            except OSError:  # nobody reads the log any more
+                written = len(self._rest)
+            self._rest = self._rest[written:]
+        return 0
+
+
+class Datagrams:
+    """A datagram each, after RFC 5426."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.connect(address)
+
+    def take(self, held: deque[bytes]) -> int:
+        """Send them; one that is refused is lost."""
+        lost = 0
+        while held:
+            try:
+                self._sock.send(held[0])
+            except BlockingIOError:
+                break
+            except OSError:
+                lost += 1
+            held.popleft()
+        return lost
+
+
+class Connection:
+    """A stream with counted lines, after RFC 6587; made anew when it breaks."""
+
+    def __init__(self, loop: Loop, address: tuple[str, int]) -> None:
+        self._loop, self._address = loop, address
+        self._stream: Stream | None = None
+        loop.spawn(self._run())
+
+    def take(self, held: deque[bytes]) -> int:
+        """Hand over what the connection takes."""
+        stream = self._stream
+        while held and stream is not None and stream.open and stream.unsent < MOST_UNSENT:
+            line = held.popleft()
+            stream.send(b"%d %s" % (len(line), line))
+        if stream is not None:
+            stream.flush()
+        return 0
+
+    def _run(self) -> Generator[Wait, int, None]:
+        while True:
+            stream = yield from connect(self._loop, *self._address, self._loop.now + CONNECT_US)
+            if isinstance(stream, Stream):
+                self._stream = stream
+                try:
+                    while (yield from stream.read()):  # a collector says nothing
+                        pass
+                finally:
+                    self._stream = None
+                    stream.close()
+            yield Wait(until=self._loop.now + RECONNECT_US)
+
+
 class Syslog:
-    """Where log lines go."""
+    """Formats lines and holds them until their sink takes them."""
 
     def __init__(
-        self, loop: Loop, host: str, app: str, unix_offset_us: int, collector: tuple[str, int] | None = None
+        self,
+        loop: Loop,
+        host: str,
+        app: str,
+        unix_offset_us: int,
+        collector: tuple[str, tuple[str, int]] | None = None,
     ) -> None:
         self.loop, self.host, self.app = loop, host, app
         self._offset, self._process = unix_offset_us, os.getpid()
         self._held: deque[bytes] = deque()
         self._size = self._dropped = 0
         self._waiting = False
-        self._udp: socket.socket | None = None
-        if collector is not None:  # datagrams, after RFC 5426
-            self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            self._udp.setblocking(False)
-            self._udp.connect(collector)
+        self._sink: Sink
+        if collector is None:
+            self._sink = StandardOutput()
+        elif collector[0] == "udp":
+            self._sink = Datagrams(collector[1])
         else:
-            os.set_blocking(STDOUT, False)
+            self._sink = Connection(loop, collector[1])
 
     def __call__(self, severity: int, message_id: str, values: Mapping[str, object], text: str) -> None:
         """One line."""
-        at = self.loop.now + self._offset
-        line = rfc5424.format_line(severity, at, self.host, self.app, self._process, message_id, values, text)
-        if self._udp is not None:
-            try:
-                self._udp.send(line)
-            except OSError:
-                self._dropped += 1
-            return
         if self._size > MOST_HELD:
             self._dropped += 1
             return
-        self._held.append(line + b"\n")
-        self._size += len(line) + 1
+        at = self.loop.now + self._offset
+        line = rfc5424.format_line(severity, at, self.host, self.app, self._process, message_id, values, text)
+        self._held.append(line)
+        self._size += len(line)
         if not self._waiting:
             self._waiting = True
             self.loop.at_turn_end(self.flush)
 
     def flush(self) -> None:
-        """Write what standard output takes; the rest a little later."""
-        self._waiting = False
+        """Hand over what the sink takes; the rest a little later."""
+        self._waiting = True  # no second call
+        self._dropped += self._sink.take(self._held)
+        self._size = sum(map(len, self._held))
         if self._dropped and self._size < MOST_HELD // 2:
             dropped, self._dropped = self._dropped, 0
-            self._waiting = True  # no second call
             self(rfc5424.WARNING, "log", {"dropped": dropped}, "lines were dropped")
-            self._waiting = False
-        while self._held:
-            data = b"".join(self._held)
-            try:
-                written = os.write(STDOUT, data)
-            except BlockingIOError:
-                self._waiting = True
-                self.loop.after(RETRY_US, self.flush)
-                return
-            except OSError:  # nobody reads the log any more
-                written = len(data)
-            self._held.clear()
-            self._size = len(data) - written
-            if written < len(data):
-                self._held.append(data[written:])
+        self._waiting = bool(self._held)
+        if self._held:
+            self.loop.after(RETRY_US, self.flush)
