--- a/tests/standins.py
+++ b/tests/standins.py
@@ -218,6 +218,7 @@
         self.begin(stream)
         while data := (yield from stream.read()):
             self.take(data)
+        stream.close()
         self.closed = True
 
     def begin(self, stream: Stream) -> None:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -155,9 +155,18 @@
         ],
     )
     told: list[ListChange] = []
-    follower = ChangeLog(world.loop, feed.sock.getsockname(), 3, lambda us: us, told.append, lambda *_: None)
+    logged: list[str] = []
+
+    def tell(change: ListChange) -> None:
+        told.append(change)
+        if len(told) == 4:
+            raise KeyError("whatever")
+
+    follower = ChangeLog(
+        world.loop, feed.sock.getsockname(), 3, lambda us: us, tell, lambda *line: logged.append(line[3])
+    )
     world.loop.spawn(follower.run())
-    world.until(lambda: len(told) == 4)
+    world.until(lambda: any(why.startswith("fault: KeyError") for why in logged) and len(feed.asked) > 9)
     feed.sock.close()
     assert [change.entries[0].name for change in told] == ["a", "b", "c", "d"]
     since = [int(path.partition("since=")[2].partition("&")[0]) for path in feed.asked]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -362,6 +362,22 @@
     assert len(world.service.front._connections) == 1
 
 
+def test_a_listener_outlives_a_fault_of_accept(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World()
+    world.until(lambda: all(node.streams for node in world.nodes))
+    usual, faults = socket.socket.accept, [OSError(errno.EPERM, "odd"), OSError(errno.EMFILE, "full")]
+
+    def accept(sock: socket.socket) -> Any:
+        if faults:
+            raise faults.pop()
+        return usual(sock)
+
+    monkeypatch.setattr(socket.socket, "accept", accept)
+    world.client = world.join(JSON)
+    world.client.ask(5, Conduct.RUN)
+    assert world.heard(5) == [PLACED] and not faults
+
+
 def test_closed_connections_are_counted_back() -> None:
     world = World()
     for _ in range(3):
--- a/thornshelf/changelog.py
+++ b/thornshelf/changelog.py
@@ -105,6 +105,8 @@
             else:
                 try:
                     why = yield from self._poll(stream)
+                except Exception as fault:  # whatever it is, the list must be followed further
+                    why = f"fault: {type(fault).__name__} {fault}"
                 finally:
                     stream.close()
             if self.since != told:
--- a/thornshelf/fronts/listener.py
+++ b/thornshelf/fronts/listener.py
@@ -68,11 +68,11 @@
                 except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                     break
                 except OSError as fault:
+                    # Guards against a listener that ends for good on a fault that passes.
                     if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                         self._make_room()
-                        yield Wait(until=self.loop.now + PAUSE_US)
-                        break
-                    raise
+                    yield Wait(until=self.loop.now + PAUSE_US)
+                    break
                 try:
                     stream = Stream(self.loop, sock, str(peer[0]))
                 except OSError:  # reset before it was looked at
