Reload the configuration on SIGHUP and move the change log at once

Now the loop's signal descriptor also takes SIGHUP; Config.reloaded (config.py) says what changes in a running process (changelog, limits.sockets) and which changed keys wait for a restart; ChangeLog.move cancels the poll at the old address, which stays open and silent, and asks the new one with the number of the last event. A faulty file leaves the old one in force. Also: the pause before a new connection no longer grows on connections that did answer.

Ruled out: waiting for the old connection to close (1.5 s later, and a poll of 2 s may hide it).

The test fails without the move, and the process test without the signal.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 from collections.abc import Callable, Generator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -17,10 +18,11 @@
 from tests.standins import CONFIG, HOST, LIMIT_S, World
 from thornshelf import changelog, syslog
 from thornshelf.changelog import ChangeLog
-from thornshelf.config import ConfigError, read_config
+from thornshelf.config import Config, ConfigError, read_config
 from thornshelf.core import ListChange
 from thornshelf.loop import Loop, Stream, Wait
 from thornshelf.loop.loop import IN
+from thornshelf.service import client_share
 from thornshelf.syslog import Syslog
 
 ROOT = Path(__file__).parent.parent
@@ -95,6 +97,8 @@
     assert said.startswith("thornshelf: LB_CONFIG: ") and said.count("\n") == 1
     with start({"LB_CONFIG": str(CONFIG), "LB_LISTEN": f"{HOST}:0"}) as process:
         assert process.stdout is not None and " start [" in process.stdout.readline()
+        process.send_signal(signal.SIGHUP)  # left alone, it would end the process
+        assert " reload " in process.stdout.readline()
         process.send_signal(signal.SIGTERM)
         rest, said = process.communicate(timeout=LIMIT_S)
     assert process.returncode == 0 and " stop [" in rest and not said
@@ -162,15 +166,52 @@
         if len(told) == 4:
             raise KeyError("whatever")
 
-    follower = ChangeLog(
+    ChangeLog(
         world.loop, feed.sock.getsockname(), 3, lambda us: us, tell, lambda *line: logged.append(line[3])
     )
-    world.loop.spawn(follower.run())
     world.until(lambda: any(why.startswith("fault: KeyError") for why in logged) and len(feed.asked) > 9)
     feed.sock.close()
     assert [change.entries[0].name for change in told] == ["a", "b", "c", "d"]
-    since = [int(path.partition("since=")[2].partition("&")[0]) for path in feed.asked]
-    assert since[:9] == [3, 4, 4, 6, 6, 6, 6, 6, 6]
+    assert since(feed)[:9] == [3, 4, 4, 6, 6, 6, 6, 6, 6]
+
+
+def since(feed: Feed) -> list[int]:
+    """The numbers that a change log was asked with."""
+    return [int(path.partition("since=")[2].partition("&")[0]) for path in feed.asked]
+
+
+def test_reload_moves_the_change_log_at_once_and_keeps_its_number() -> None:
+    """The old address stays open and silent: nothing of the new one may wait for it."""
+    world = World(nodes=1)
+    old = Feed(world.loop, [http({"seq": 7, "results": [event(7, "a")]}), None])
+    new = Feed(world.loop, [http({"seq": 8, "results": [event(8, "b")]}), None])
+    known = world.service.config
+    configs: list[Config | ConfigError] = [
+        replace(known, changelog=old.sock.getsockname()),
+        ConfigError("changelog: not of the form host:port"),
+        replace(known, changelog=new.sock.getsockname(), sockets=256, seed=5),
+    ]
+
+    def reread() -> Config:
+        config = configs.pop(0)
+        if isinstance(config, ConfigError):
+            raise config
+        return config
+
+    world.service._reread = reread
+    world.service.reload()
+    world.until(lambda: len(old.asked) == 2)
+    world.service.reload()  # a faulty file leaves the old one in force
+    world.settle(10)
+    assert world.logged[-1][:3] == (4, "reload", {"kept": "old"}) and not new.asked
+    begun = world.loop.now
+    world.service.reload()
+    assert world.logged[-1][:3] == (5, "reload", {"restart": "seed"})
+    world.until(lambda: len(new.asked) == 2)
+    assert world.loop.now - begun < changelog.POLL_MS * 1000
+    assert since(old) == [1, 7] and since(new) == [7, 8]
+    assert {"a", "b"} <= world.service.core._machines.keys()
+    assert world.service.front.listener.budget.most == client_share(world.service.config) < 256
 
 
 def test_the_log_never_blocks_and_says_what_it_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/thornshelf/changelog.py
+++ b/thornshelf/changelog.py
@@ -93,13 +93,28 @@
     ) -> None:
         self.loop, self.address, self.since = loop, address, since
         self._monotonic_us, self._tell, self._log = monotonic_us, tell, log
+        self._answered = False  # on this connection
+        self._task = loop.spawn(self._run())
 
-    def run(self) -> Generator[Wait, int, None]:
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address, at once, from the number of the last event.
+
+        Guards against waiting for the old one: it may stay open and silent for as long as a poll lasts.
+        """
+        self.loop.cancel(self._task)
+        self.address = address
+        self._task = self.loop.spawn(self._run())
+
+    def stop(self) -> None:
+        """Follow no more."""
+        self.loop.cancel(self._task)
+
+    def _run(self) -> Generator[Wait, int, None]:
         """Poll for ever; a broken or silent connection is replaced."""
         pause = PAUSE_US
         while True:
             stream = yield from connect(self.loop, *self.address, self.loop.now + CONNECT_US)
-            told = self.since
+            self._answered = False
             if isinstance(stream, int):
                 why = f"not connected: {os.strerror(stream)}"
             else:
@@ -109,7 +124,7 @@
                     why = f"fault: {type(fault).__name__} {fault}"
                 finally:
                     stream.close()
-            if self.since != told:
+            if self._answered:
                 pause = PAUSE_US
             self._log(5, "change-log", {"since": self.since}, why)
             yield Wait(until=self.loop.now + pause)
@@ -154,6 +169,7 @@
                 self.since, changes = read_events(value, self.since, self._monotonic_us)
             except (ValueError, RecursionError, WireError) as fault:
                 return f"unreadable: {fault}"
+            self._answered = True
             for change in changes:
                 self._tell(change)
             if http.our_state is h11.MUST_CLOSE or http.their_state is not h11.DONE:
--- a/thornshelf/config.py
+++ b/thornshelf/config.py
@@ -5,7 +5,7 @@
 import json
 import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from glenshift import interface as api
@@ -46,6 +46,14 @@
     grpc: GrpcConfig = field(default_factory=GrpcConfig)
     collector: tuple[str, tuple[str, int]] | None = None  # "udp" or "tcp", and where
 
+    def reloaded(self, new: Config) -> tuple[Config, list[str]]:
+        """This with what may change in a running process; and the changed keys that wait for a restart."""
+        kept = replace(self, changelog=new.changelog, sockets=new.sockets)
+        # 'known' is only a start's word: the change log itself goes on from the last number.
+        keys = {"collector": "syslog.collector", **{name: name for name in ("name", "listen", "seed")}}
+        keys |= {"settings": "settings", "grpc": "grpc"}
+        return kept, [key for name, key in keys.items() if getattr(kept, name) != getattr(new, name)]
+
 
 def read_address(value: object, key: str) -> tuple[str, int]:
     """host:port."""
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -8,7 +8,7 @@
 import socket
 import time
 import traceback
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from typing import TYPE_CHECKING
 
 from thornshelf.changelog import ChangeLog, read_events
@@ -31,11 +31,22 @@
 LINGER_US = 50_000  # for last lines to leave
 
 
+def client_share(config: Config) -> int:
+    """How many descriptors clients may hold."""
+    return max(8, config.sockets - RESERVED)
+
+
 class Service:
     """One dispatcher."""
 
-    def __init__(self, config: Config, loop: Loop | None = None, log: LogCall | None = None) -> None:
-        self.config = config
+    def __init__(
+        self,
+        config: Config,
+        loop: Loop | None = None,
+        log: LogCall | None = None,
+        reread: Callable[[], Config] | None = None,
+    ) -> None:
+        self.config, self._reread = config, reread
         self.loop = loop or Loop()
         # The one edge between Unix time and the loop's clock.
         self._unix_offset_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
@@ -47,7 +58,8 @@
         except WireError as fault:
             raise ConfigError(f"known: {fault}") from None
         self.core.inbox.extend(changes)
-        budget = Budget(max(8, config.sockets - RESERVED))
+        self._since = since
+        self._budget = budget = Budget(client_share(config))
         try:
             self.front = PlatformFront(self.loop, self.core, config.listen, budget)
         except OSError as fault:
@@ -60,11 +72,8 @@
                 self.fronts.append(GrpcFront(self.loop, self.core, config.grpc.listen, budget))
             except OSError as fault:
                 raise ConfigError(f"grpc.listen: {fault.strerror}: {config.grpc.listen}") from None
-        if config.changelog is not None:
-            follower = ChangeLog(
-                self.loop, config.changelog, since, self.monotonic_us, self.core.inbox.append, self.log
-            )
-            self.loop.spawn(follower.run())
+        self._follower: ChangeLog | None = None
+        self._follow(config.changelog)
         self._ending = False
 
     def monotonic_us(self, unix_us: int) -> int:
@@ -88,6 +97,37 @@
         if isinstance(self.log, Syslog):
             self.log.flush()
 
+    def reload(self) -> None:
+        """Read the configuration again; a faulty one leaves the old in force."""
+        if self._reread is None:
+            self.log(5, "reload", {}, "nothing to read the configuration from")
+            return
+        try:
+            config, waiting = self.config.reloaded(self._reread())
+        except ConfigError as fault:
+            self.log(4, "reload", {"kept": "old"}, str(fault))
+            return
+        self.config = config
+        self._budget.most = client_share(config)
+        self._follow(config.changelog)
+        values: dict[str, object] = {"restart": ",".join(waiting)} if waiting else {}
+        said = "; what changed under 'restart' waits for one" if waiting else ""
+        self.log(5, "reload", values, f"configuration read again{said}")
+
+    def _follow(self, address: tuple[str, int] | None) -> None:
+        """Follow the change log at an address, from the last event that is known."""
+        follower = self._follower
+        if address is None:
+            if follower is not None:
+                self._since, self._follower = follower.since, None
+                follower.stop()
+        elif follower is None:
+            self._follower = ChangeLog(
+                self.loop, address, self._since, self.monotonic_us, self.core.inbox.append, self.log
+            )
+        elif follower.address != address:
+            follower.move(address)
+
     def end(self) -> None:
         """A planned stop: serve on while requests still come, then finish the open ones."""
         if not self._ending:
@@ -114,7 +154,8 @@
         theirs.setblocking(False)
         signal.set_wakeup_fd(theirs.fileno())
         self._signal_sockets = ours, theirs
-        for number in (signal.SIGTERM, signal.SIGINT):
+        # SIGHUP too: left alone, it would end the process.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         self.loop.spawn(self._signals(ours))
 
@@ -127,6 +168,8 @@
                 continue
             if signal.SIGTERM in numbers or signal.SIGINT in numbers:
                 self.end()
+            if signal.SIGHUP in numbers:
+                self.reload()
 
     def _make_node(self, machine: int, entry: NodeEntry, core: Dispatcher) -> Node:
         if self.config.grpc.speaks(entry.name):
