Blame a machine for an error only where another takes the task; forget gone machines

Cause: brain.on_ended counted each error as a sign against the machine, and two in a row shut it out; bad clients' tasks are answered with an error by every machine.

Now an error waits for its verdict in Request.erred: the machine is blamed when the same task is placed elsewhere, and is then shut out for its time whatever a probe says (a machine that answers errors passes probes, which lifted the ban within a tick). Also: an ask that no machine could hold empty is refused and no longer sets self.large, which kept the roomiest machine from small tasks for 60 s; machines that are gone and ended services' times are forgotten.

--- a/glenshift/brain.py
+++ b/glenshift/brain.py
@@ -116,6 +116,7 @@
         self.attempts: list[Attempt] = []
         self.open = True  # a final answer is owed
         self.avoid: set[int] = set()  # machines that turned it down
+        self.erred: list[Machine] = []  # machines that answered it with an error
 
 
 class Placer:
@@ -143,7 +144,7 @@
         self.large: dict[str, tuple[api.TaskClass, tuple[float, float], float]] = {}  # largest asks, when
         self.lag = self.start = 0.0  # how long answers, and starts, take of late
         self.averaged = -math.inf
-        self.rate = self.last_ask = self.next_tick = self.next_digest = 0.0
+        self.rate = self.last_ask = self.next_tick = self.next_digest = self.next_sweep = 0.0
         self.list_retry_at = 0.0 if settings.list_on_request else None  # when to subscribe, and again
         self.quota = {one.name: one.quota_cores / max(1, settings.placers) for one in settings.tenants}
         self.services: dict[int, int] = {}  # own tasks, by service
@@ -209,7 +210,8 @@
         if not request.open or any(a.live and a.state == OUT for a in request.attempts):
             return
         machine = None
-        if len(request.attempts) < self.s.limits.attempts and request.deadline > self.now:
+        left = len(request.attempts) < self.s.limits.attempts and request.deadline > self.now
+        if left and self.possible(request.need):
             eligible = [m for m in self.up if self.may_offer(request, m)]
             pooled = self.pooled(eligible)
             if eligible and (request.attempts or self.admitted(request.need, pooled)):
@@ -262,6 +264,10 @@
         """So much of a machine that free room scattered over the fleet may not hold it."""
         return any(size > 0.0 and ask > LARGE * size for size, ask in zip(self.largest, need, strict=True))
 
+    def possible(self, need: tuple[float, float]) -> bool:
+        """Some machine could hold it, were it empty; room kept for anything larger would be kept in vain."""
+        return all(ask <= size for size, ask in zip(self.largest, need, strict=True))
+
     def pool(self, request: Request, able: list[Machine], taken: list[float]) -> list[Machine]:
         """[D1] The shortest prefix of one order that holds what is taken; the rest, priced, may run empty."""
         blind = not self.s.tells_use and max(self.s.admit_cores, self.s.admit_memory) > 1.0
@@ -464,7 +470,7 @@
         """Keep a request by its id; [D5] the largest asks of each class are remembered."""
         terms, need = self.terms[ask.task_class], (ask.cores, ask.memory)
         request = self.requests[ask.request] = Request(ask, terms, self.now + ask.budget_s)
-        if min(need) > 0.0 and self.is_large(need):
+        if min(need) > 0.0 and self.is_large(need) and self.possible(need):
             old = self.large.get(terms.name, (terms, need, self.now))[1]
             self.large[terms.name] = (terms, (max(old[0], need[0]), max(old[1], need[1])), self.now)
         return request
@@ -540,6 +546,8 @@
         if not self.s.accepts_before_running:
             self.runs(request, attempt, True)
         self.well(attempt.machine)
+        for m in request.erred:  # [D4] the task is sound, as it was taken elsewhere: the fault was theirs
+            self.suspect(m, Outcome.ERROR.value)
 
     def on_ended(self, event: api.Ended) -> None:
         """An attempt has its outcome."""
@@ -559,7 +567,9 @@
             request.avoid.add(m.id)
         if event.outcome is Outcome.REFUSED:
             self.refused(request, m, event.reason)
-        elif event.outcome in (Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.ERROR) or (
+        elif event.outcome is Outcome.ERROR:
+            request.erred.append(m)  # whether the task or the machine is at fault is not known yet
+        elif event.outcome in (Outcome.TIMED_OUT, Outcome.NOT_CONNECTED) or (
             event.outcome is Outcome.BROKEN and event.reason is Reason.UNTOLD
         ):
             self.suspect(m, event.outcome.value)
@@ -588,13 +598,17 @@
 
     def suspect(self, m: Machine, why: str) -> None:
         """[D4] Gray failure: one sign makes a machine dear, as all may be slow; in a row they shut it out."""
+        erred = why == Outcome.ERROR.value  # it may answer a probe as well as ever
         m.strikes += not self.stalled
-        if self.stalled or m.strikes < STRIKES or self.now < m.suspect_until:
+        if self.stalled or m.strikes < STRIKES or self.now < (m.shut_until if erred else m.suspect_until):
             return
-        self.troubled.add(m.id)
-        self.next_tick = self.now  # to be probed at once
         wait = min(SUSPECT_S * 2.0 ** (m.strikes - STRIKES), SUSPECT_MAX_S)
-        m.suspect_until = self.now + wait
+        if erred:
+            m.shut_until = self.now + wait
+        else:
+            self.troubled.add(m.id)
+            self.next_tick = self.now  # to be probed at once
+            m.suspect_until = self.now + wait
         self.out.append(api.Log(f"suspect {m.id} for {wait:g} s: {why}"))
 
     def well(self, m: Machine) -> None:
@@ -687,11 +701,18 @@
         if self.list_retry_at is not None and self.now >= self.list_retry_at:
             self.list_retry_at = None
             self.out.append(api.Watch(True))
+        self.troubled &= self.machines.keys()
         for number in sorted(self.troubled) if self.s.limits.may_probe else ():
             m = self.machines[number]
             if not m.probing and m.health is Health.UP:
                 m.probing = True
                 self.out.append(api.Probe(m.id))
+        for m in [m for m in self.machines.values() if m.health is Health.GONE and not m.tasks]:
+            del self.machines[m.id]  # else the days of replaced machines add up
+        if self.now >= self.next_sweep:
+            self.next_sweep = self.now + PROGRAM_S
+            for m in self.up:
+                m.left = {service: at for service, at in m.left.items() if self.now - at < PROGRAM_S}
         while self.digests and self.now - next(iter(self.digests.values()))[0] >= PEER_LOST_S:
             self.digest_of(next(iter(self.digests)), [])
         if self.s.limits.peer_messages and self.s.placers > 1 and self.now >= self.next_digest:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -269,3 +269,53 @@
     one.average()
     spread = [max(one.program(r, m) for m in one.up) for r in (request, small)]
     assert spread[0] <= 2.0 < spread[1]
+
+
+def errors(one: Placer, now: float, request: int, count: int) -> list[int]:
+    """Ask for a task that so many machines answer with an error; gives those that it was offered to."""
+    said, machines = one.handle(now, [ask(request)]), list[int]()
+    for attempt in range(count):
+        machines += [offer.machine for offer in offers(said)]
+        said = one.handle(now, [ended(request, machines[-1], api.Outcome.ERROR, attempt)])
+    return machines + [offer.machine for offer in offers(said)]
+
+
+def test_a_task_that_all_machines_answer_with_an_error_blames_none() -> None:
+    """Bad clients send what no machine can use: that must not shut out machines that serve the others."""
+    one = placer(entry(1), entry(2))
+    for request in range(9):
+        assert sorted(errors(one, 1.0, request, 2)) == [1, 2]
+    assert not any(m.strikes for m in one.machines.values())
+
+
+def test_a_machine_whose_errors_others_do_not_share_is_left_alone_whatever_a_probe_says() -> None:
+    one = placer(entry(1), entry(2))
+    for request in (1, 2):
+        one.machines[2].strikes = 9  # dearer than the bad one
+        assert errors(one, 1.1, request, 1) == [1, 2]
+        one.handle(1.1, [api.Placed(request, 2, 1, 0.1)])
+    one.handle(1.2, [api.ProbeAnswer(1, api.Outcome.OK, 0.1, None)])
+    one.machines[2].strikes = 9
+    assert errors(one, 1.3, 3, 0) == [2]
+    one.machines[2].strikes = 9
+    assert errors(one, 2.2, 4, 0) == [1]
+
+
+def test_room_is_not_kept_for_what_no_machine_could_hold() -> None:
+    """Guards against one absurd ask that keeps the roomiest machine from all others for a minute."""
+    one = placer(entry(1), using=settings(placers=2))
+    assert answers(one.handle(1.0, [ask(1, cores=1e6, memory=1e6)])) == [api.Refuse(1)]
+    assert not one.large
+
+
+def test_nothing_is_kept_of_machines_that_are_gone_and_services_that_ended() -> None:
+    one = placer(entry(1))
+    for number in range(2, 40):
+        gone = entry(number, health=api.Health.GONE)
+        one.handle(float(number), [listing(entry(number), complete=False), ask(number, service=number)])
+        held = next(a for a in one.requests[number].attempts)
+        one.handle(float(number), [api.Placed(number, held.machine.id, 0, 0.1)])
+        one.handle(float(number), [ended(number, held.machine.id, api.Outcome.OK, last=True)])
+        one.handle(number + 0.5, [listing(gone, complete=False)])
+    one.handle(60.0, [])
+    assert list(one.machines) == [1] and not one.machines[1].left and not one.requests
