Give bad clients a word or a close in time, and tell releases to proven clients only

Causes. fronts/platform.py answered nothing to a line whose id could not be read, and read for ever from connections that said nothing; core._set_up dropped a set-up with an id in use without a word. With the table full, make_room took the connection that was idle longest, a usual client's before a newer silent one, and core._other sent the release of its task to the newest connection of all, a silent stranger's. By the log: lines without an id, duplicates (199 under one id) and 954 connections that never sent a whole request.

Now: a word under the zero id; 2 s for the first usable message and for the end of one that has begun; the second set-up under an id fails on another connection and ends its own; tenants and figures are checked; make_room takes silent connections first; releases go to the same client, else to the connection a task was placed for last. Of one connection 32 lines or frames are taken a turn; log lines are bounded in size and rate; waits beyond twice the class's deadline are cut; the reserve of descriptors is a quarter, at most 96. The same on gRPC.

Ruled out: closing on every unreadable line, which would cost the client's other tasks and gained nothing.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -291,9 +291,10 @@
         return self.h2.call(headers + [(name.replace("_", "-"), value) for name, value in more.items()])
 
     def message(self, uid: int, conduct: Conduct, task_class: str, **changes: Any) -> pb.Ask:
-        values: dict[str, Any] = {"left_ms": float(changes.pop("left", 8000)), **changes}
+        values: dict[str, Any] = {"left_ms": float(changes.pop("left", 8000)), "tenant": "hollis-county"}
+        values |= changes
         return pb.Ask(
-            uid=uid, task_class=task_class, tenant="hollis-county", key=uid, hint_ms=8200.0, cores=1.0,
+            uid=uid, task_class=task_class, key=uid, hint_ms=8200.0, cores=1.0,
             memory=2.0, service=7, description=conduct.value, **values,
         )  # fmt: skip
 
--- /dev/null
+++ b/tests/test_bad_clients.py
@@ -0,0 +1,224 @@
+"""Clients that send what can't be used, or nothing: they get a word or a close, and cost nobody else."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+from typing import Any
+
+import pytest
+
+from tests.standins import BINARY, DESCRIPTION, GRPC, HOST, JSON, LIMIT_S, Conduct, World
+from thornshelf.core import dispatcher
+from thornshelf.fronts import grpc as grpc_front
+from thornshelf.fronts import platform
+from thornshelf.wire import grpc, jsonl
+
+PLACED, FAILED = ("placed", DESCRIPTION), ("failed", None)
+FRONTS = pytest.mark.parametrize("front", [JSON, GRPC])
+
+
+def hurry(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Connections are given 50 ms."""
+    for front in (platform, grpc_front):
+        monkeypatch.setattr(front, "FIRST_US", 50_000)
+        monkeypatch.setattr(front, "REST_US", 50_000)
+
+
+def stranger(world: World, front: str, host: str = HOST) -> socket.socket:
+    """A connection that says nothing yet, from an address of its own."""
+    address = world.service.fronts[front == GRPC].listener.address
+    sock = socket.create_connection(address, timeout=LIMIT_S, source_address=(host, 0))
+    sock.setblocking(False)
+    return sock
+
+
+def read_all(world: World, sock: socket.socket) -> bytes:
+    """What comes until the connection ends."""
+    said, ended = b"", False
+    limit = time.monotonic() + LIMIT_S
+    while not ended:
+        assert time.monotonic() < limit
+        world.settle(1)
+        try:
+            data = sock.recv(1 << 16)
+            said, ended = said + data, not data
+        except BlockingIOError:
+            pass
+        except ConnectionResetError:
+            ended = True
+    sock.close()
+    return said
+
+
+@FRONTS
+def test_a_connection_that_says_nothing_is_closed_and_one_that_was_of_use_may_be_idle(
+    front: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    hurry(monkeypatch)
+    world = World(front)
+    world.client.ask(5, Conduct.END)
+    world.heard(5, 2)
+    silent = stranger(world, front)
+    read_all(world, silent)
+    world.settle(150)
+    world.client.ask(6, Conduct.RUN)
+    assert world.heard(6) == [PLACED] and not world.client.closed
+
+
+@FRONTS
+def test_a_message_that_never_ends_costs_its_connection(front: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    hurry(monkeypatch)
+    world = World(front, nodes=1)
+    other = world.join(front)
+    for client, uid in ((world.client, 5), (other, 6)):
+        client.ask(uid, Conduct.SILENT)
+        world.until(lambda uid=uid: world.offers(uid) == 1)  # type: ignore[misc]
+    world.client.stream.send(b'{"kind":"stop"' if front == JSON else b"\0\0\x20\0\0\0\0\0\x01half")
+    world.until(lambda: world.client.closed)
+    world.until(lambda: ("release", 5) in world.nodes[0].seen)  # what was open there is given up
+    world.settle(100)
+    assert not other.closed and ("release", 6) not in world.nodes[0].seen
+
+
+def test_an_unreadable_line_gets_a_word_though_its_id_is_not_known() -> None:
+    world = World()
+    for line in (b"no json\n", b'{"kind":"launch","meta":{}}\n', b"\xff\xfe\n"):
+        world.client.send(line)
+    told: list[Any] = world.heard(jsonl.UNNAMED, 3)
+    assert told == [FAILED] * 3
+
+
+@FRONTS
+def test_two_set_ups_under_one_id_end_what_they_came_on(front: str) -> None:
+    """Guards against a second answer: the client could not tell which of the two it is for."""
+    world = World(front, nodes=1)
+    for _ in range(3):
+        world.client.ask(5, Conduct.RUN)
+    if front == JSON:
+        world.until(lambda: world.client.closed)
+    else:
+        world.until(lambda: world.client.call in world.client.status)
+        assert world.client.status[world.client.call]["grpc-status"] == str(grpc.INVALID_ARGUMENT)
+    world.until(lambda: 5 not in world.service.core._tasks or ("offer", 5) in world.nodes[0].seen)
+    assert len(world.client.heard.get(5, [])) <= 1
+    assert world.service.core.open_count == 0
+
+
+@FRONTS
+def test_an_id_in_use_on_another_connection_fails_there_alone(front: str) -> None:
+    world = World(front)
+    other = world.join(front)
+    world.client.ask(5, Conduct.SILENT, left="400")
+    world.until(lambda: world.offers(5) == 1)
+    other.ask(5, Conduct.RUN)
+    world.until(lambda: 5 in other.heard)
+    assert other.heard == {5: [FAILED]} and world.client.heard == {}
+    assert world.heard(5) == [FAILED] and world.offers(5) == 1
+
+
+@FRONTS
+@pytest.mark.parametrize("change", [{"tenant": "nobody"}, {"left": "1e300"}, {"left": "-1"}])
+def test_what_the_settings_do_not_know_is_answered_and_kept_nowhere(
+    front: str, change: dict[str, str]
+) -> None:
+    world = World(front)
+    world.client.ask(5, Conduct.RUN, **change)
+    assert world.heard(5) == [FAILED] and world.offers(5) == 0
+    assert not world.service.core._tasks and not world.service.core.placer.tenant_cores
+
+
+@FRONTS
+def test_nobody_is_waited_for_far_beyond_the_class_s_deadline(front: str) -> None:
+    """Guards against timers and tasks that a bad client's figure would keep for days."""
+    world = World(front)
+    world.client.ask(5, Conduct.SILENT, left="999999999")
+    world.until(lambda: world.offers(5) == 1)
+    core = world.service.core
+    longest = dispatcher.MOST_DEADLINES * core.classes["lookup"].deadline_s
+    assert core._tasks[5].setup.deadline_us <= world.loop.now + longest * 1e6
+
+
+@FRONTS
+def test_a_flood_on_one_connection_leaves_time_for_others(front: str) -> None:
+    world = World(front)
+    other = world.join(front)
+    for uid in range(100, 1100):
+        world.client.ask(uid, Conduct.RUN, "no-such-class")
+    other.ask(5, Conduct.RUN)
+    most = 0
+    while 5 not in other.heard:
+        before = len(world.logged)
+        world.loop.turn()
+        most = max(most, len(world.logged) - before)
+    assert most <= 64 and len(world.logged) < 1000
+    world.until(lambda: len(world.client.heard) == 1000)
+
+
+def test_releases_are_not_told_to_strangers() -> None:
+    """A release told to whoever opened a connection last is lost; what tasks are placed for is a client's."""
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.RUN)
+    world.heard(5)
+    sound, silent = stranger(world, JSON, "127.0.0.2"), stranger(world, JSON, "127.0.0.3")
+    meta = {"class": "lookup", "left": 8000, "extras": "cores:1;memory:2"}
+    line = {"kind": "launch", "uid": f"{6:016x}", "meta": meta, "body": Conduct.RUN.value.decode()}
+    sound.sendall(json.dumps(line).encode() + b"\n")
+    world.until(lambda: 6 in world.nodes[0].running)
+    late = stranger(world, JSON, "127.0.0.4")
+    world.client.stream.close()
+    world.settle(10)
+    world.nodes[0].die()
+    limit, said = time.monotonic() + LIMIT_S, b""
+    while said.count(b'"stop"') < 2 and time.monotonic() < limit:
+        world.settle(20)
+        try:
+            said += sound.recv(1 << 16)
+        except BlockingIOError:
+            continue
+    assert f'"uid":"{5:016x}"'.encode() in said and f'"uid":"{6:016x}"'.encode() in said
+    for sock in (silent, late):
+        with pytest.raises(BlockingIOError):
+            sock.recv(100)
+    for sock in (sound, silent, late):
+        sock.close()
+
+
+@FRONTS
+def test_room_is_made_by_those_that_said_nothing(front: str) -> None:
+    world = World(front, BINARY)
+    world.client.ask(5, Conduct.RUN if front == JSON else Conduct.END)
+    world.heard(5)
+    if front == GRPC:  # a call that lasts would keep its connection
+        world.client.h2.finish(world.client.call, [])
+        world.until(lambda: world.client.call in world.client.status)
+    silent = stranger(world, front)
+    world.until(lambda: world.service._budget.used == 2)
+    world.service._budget.most = 2
+    world.join(front)
+    read_all(world, silent)
+    assert not world.client.closed
+
+
+@FRONTS
+def test_nothing_is_kept_of_clients_and_nodes_that_went(front: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(dispatcher, "UNLISTED_US", 100_000)
+    world = World(front, nodes=1)
+    core = world.service.core
+    for uid in range(1, 30):
+        name = f"s-{uid + 100:08x}"
+        world.tell_entry(world.entry(0) | {"instanceId": name})
+        client = world.join(front)
+        client.ask(uid, Conduct.RUN, at="s-0000ffff") if uid % 2 else client.ask(uid, Conduct.RUN)
+        world.until(lambda uid=uid: uid in core._tasks)  # type: ignore[misc]
+        client.give_up(uid)
+        client.stream.flush()
+        client.stream.close()
+        world.tell_entry(world.entry(0) | {"instanceId": name, "lifecycle": "terminated"})
+    world.tell(0, "terminated")
+    world.until(lambda: not core._tasks and len(core._owners) == 1)
+    world.settle(150)
+    kept = (core._tasks, core._numbers, core._machines, core._entries, core._nodes, core._served, core._owed)
+    assert [len(one) for one in kept] == [0] * len(kept) and world.service._budget.used == 1
+    assert not core.placer.requests and not any(m.tasks for m in core.placer.machines.values())
--- a/tests/test_both_wires.py
+++ b/tests/test_both_wires.py
@@ -103,7 +103,7 @@
         one.die()  # the release of 7 goes to what the client still has open
     world.until(lambda: 7 in calls.heard)
     assert lines.heard == {5: [PLACED], 7: [PLACED]}
-    assert calls.heard == {6: [PLACED], 7: [("released", pb.RESET)]}
+    assert calls.heard == {5: [FAILED], 6: [PLACED], 7: [("released", pb.RESET)]}
     assert [world.offers(uid) for uid in (5, 6, 7)] == [1, 1, 1]
 
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -220,7 +220,7 @@
     loop = Loop()
     log = Syslog(loop, "n0", "thornshelf", 0)
     for number in range(6000):  # far more than a pipe and the buffer hold, and nobody reads
-        log(6, "flood", {"number": number, "odd": 'a"]\\'}, "x" * 60)
+        log(6, f"flood{number}", {"number": number, "odd": 'a"]\\'}, "x" * 60)
         log.flush()
     got = b""
     os.set_blocking(reader, False)
@@ -235,6 +235,29 @@
     loop.close()
 
 
+def test_a_flood_of_one_kind_of_line_is_cut_in_number_and_length(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against bad clients that fill the log and cost the dispatcher's time."""
+    monkeypatch.setattr(syslog, "MOST_A_SECOND", 5)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as collector:
+        collector.bind((HOST, 0))
+        collector.settimeout(LIMIT_S)
+        loop = Loop()
+        log = Syslog(loop, "n0", "thornshelf", 0, ("udp", collector.getsockname()))
+        loop.now = 5_000_000
+        for _ in range(syslog.MOST_A_SECOND + 7):
+            log(4, "bad-line", {"odd": "v" * 9999}, "x" * 9999)
+        log(6, "other", {}, "goes through")
+        log.flush()
+        lines = [collector.recv(1 << 16) for _ in range(syslog.MOST_A_SECOND + 1)]
+        loop.now = 6_000_000
+        log(6, "later", {}, "")
+        log.flush()
+        told = collector.recv(1 << 16)
+    assert lines[-1].endswith(b" goes through") and max(map(len, lines)) < 2 * syslog.MOST_TEXT + 200
+    assert b' log [thornshelf@32473 id="bad-line" left_out="7"]' in told
+    loop.close()
+
+
 def test_the_log_goes_to_a_collector() -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as collector:
         collector.bind((HOST, 0))
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -37,6 +37,7 @@
 EPOCH_S = 1000.0  # the module's clock at our start: it takes times up to 0 for 'long ago'
 RELEASE_ANY_US = 300_000  # a release waits so long for its own client before any open connection will do
 ENDING_US = 2_000_000  # a node that was told to end a task and says nothing is not waited for longer
+MOST_DEADLINES = 2  # of its class: no set-up is waited for longer
 UNLISTED_US = 2_000_000  # a task said to stand on a node that no list names is given so long
 
 LogCall = Callable[[int, str, dict[str, object], str], None]
@@ -81,7 +82,7 @@
         self.loop, self.settings, self.log = loop, settings, log
         self.placer = Placer(settings, seed)
         self.inbox: deque[Item] = deque()
-        self.classes = {one.name for one in settings.classes}
+        self.classes = {one.name: one for one in settings.classes}
         self.counts = {"taken": 0, "answered": 0, "refused": 0, "failed": 0, "released": 0, "given_up": 0}
         self._make_node = make_node
         self._start_us = loop.now
@@ -92,6 +93,8 @@
         self._entries: dict[int, NodeEntry] = {}
         self._machines: dict[str, int] = {}  # by the node's name
         self._owners: dict[Owner, set[int]] = {}  # their open set-ups
+        self._served: dict[Owner, None] = {}  # those that a task was placed for, the latest last
+        self._tenants = {one.name for one in settings.tenants}
         self._owed: deque[tuple[int, str, int, Outcome, Reason]] = (
             deque()
         )  # releases that found no connection
@@ -157,6 +160,14 @@
 
     # owners
 
+    def unusable(self, task_class: str, tenant: str | None) -> str | None:
+        """What a set-up names that the settings don't; a table of the module would keep it for good."""
+        if task_class not in self.classes:
+            return f"class is not known: {task_class!r:.40}"
+        if tenant is not None and self._tenants and tenant not in self._tenants:
+            return f"tenant is not known: {tenant!r:.40}"
+        return None
+
     def _set_up(self, item: SetUp) -> None:
         most = self.settings.limits.open_requests
         if item.at is None and 0 < most <= self.open_count:
@@ -167,9 +178,16 @@
             known = self._tasks[item.uid]
             if item.at is not None and known.state is State.STANDING:
                 known.owner = item.owner
+                return
+            self.log(4, "duplicate", {"uid": f"{item.uid:016x}"}, "set-up with an id that is in use")
+            if known.owner is item.owner:
+                item.owner.reject(item.uid)
             else:
-                self.log(4, "duplicate", {"uid": f"{item.uid:016x}"}, "set-up with an id that is in use")
+                item.owner.fail(item.uid)
             return
+        # What is kept for a task must go again: nobody waits far beyond the class's own deadline.
+        longest = int(MOST_DEADLINES * self.classes[item.task_class].deadline_s * 1e6)
+        item.deadline_us = min(item.deadline_us, self.loop.now + longest)
         self._last_number += 1
         task = TaskRecord(item, self._last_number)
         self._tasks[item.uid] = self._numbers[task.number] = task
@@ -215,7 +233,8 @@
             self.loop.after(UNLISTED_US, lambda: self._check_listed(uid, machine))
 
     def _check_listed(self, uid: int, machine: int) -> None:
-        if machine not in self._nodes and self._tasks.get(uid) is not None:
+        if machine not in self._nodes:
+            self._forget(machine)
             self.inbox.append(Finished(machine, uid, Outcome.BROKEN))
 
     def _give_up(self, uid: int) -> None:
@@ -249,6 +268,7 @@
             self.inbox.append(Finished(machine, uid, Outcome.CANCELLED))
 
     def _owner_gone(self, item: OwnerGone) -> None:
+        self._served.pop(item.owner, None)
         for uid in sorted(self._owners.pop(item.owner, ())):
             if (task := self._tasks.get(uid)) is not None and task.state is State.OPEN:
                 self.counts["given_up"] += 1
@@ -265,15 +285,17 @@
             to.release(uid, outcome, reason)
             return
         # Standing tasks outlive connections: the release goes to the client's next one, and, as it is owed
-        # within a second, soon to any.
+        # within a second, soon to any that a task was placed for. Others may be anybody's: what is told to a
+        # client that opens connections and asks for nothing of use is lost.
         self._owed.append((self.loop.now, peer, uid, outcome, reason))
         self.loop.after(RELEASE_ANY_US, lambda: self._pay(self._other("", True)))
 
     def _other(self, peer: str, anyone: bool) -> Owner | None:
-        """The newest open connection of a client."""
-        for owner in reversed(self._owners):
-            if owner.lasting and (anyone or owner.peer == peer):
-                return owner
+        """The connection that a task was placed for last, of a client or of all; else the client's newest."""
+        for table in (self._served,) if anyone else (self._served, self._owners):
+            for owner in reversed(table):
+                if owner.lasting and (anyone or owner.peer == peer):
+                    return owner
         return None
 
     def _pay(self, owner: Owner | None) -> None:
@@ -282,7 +304,7 @@
             return
         for _ in range(len(self._owed)):
             at, peer, uid, outcome, reason = self._owed.popleft()
-            if peer == owner.peer or self.loop.now >= at + RELEASE_ANY_US:
+            if peer == owner.peer or (owner in self._served and self.loop.now >= at + RELEASE_ANY_US):
                 owner.release(uid, outcome, reason)
             else:
                 self._owed.append((at, peer, uid, outcome, reason))
@@ -317,6 +339,7 @@
         if item.complete:
             for machine in sorted(self._nodes.keys() - named):
                 self._gone(machine)
+                self._forget(machine)
         self._events.append(api.MachineList(item.complete, item.version, tuple(entries)))
 
     def _entry(self, machine: int, entry: NodeEntry) -> None:
@@ -325,6 +348,7 @@
         self._entries[machine] = entry
         if entry.health is Health.GONE:
             self._gone(machine)
+            self._forget(machine)
             return
         if old is not None and old.address != entry.address and machine in self._nodes:
             self._gone(machine)
@@ -346,6 +370,12 @@
             node.close()
         self._node_lost(machine)
 
+    def _forget(self, machine: int) -> None:
+        """Nothing is kept of a node that no list names: on a long day they are replaced without end."""
+        self._entries.pop(machine, None)
+        for name in [name for name, number in self._machines.items() if number == machine]:
+            del self._machines[name]
+
     def _node_lost(self, machine: int) -> None:
         self._lost_before(machine, self.loop.now + 1)
 
@@ -378,6 +408,11 @@
             return
         self.counts["answered"] += 1
         task.owner.answer(item.uid, item.description)
+        if task.owner in self._owners and task.owner.lasting:
+            self._served.pop(task.owner, None)
+            self._served[task.owner] = None
+            if self._owed:
+                self._pay(task.owner)
 
     def _finished(self, item: Finished) -> None:
         task = self._tasks.get(item.uid)
--- a/thornshelf/core/model.py
+++ b/thornshelf/core/model.py
@@ -37,6 +37,9 @@
     def fail(self, uid: int) -> None:
         """Failed: nothing is promised."""
 
+    def reject(self, uid: int) -> None:
+        """It asked twice under one id: it must go, and is told so in its own wire's way."""
+
     def release(self, uid: int, outcome: Outcome, reason: Reason) -> None:
         """A task that stood is over."""
 
--- a/thornshelf/fronts/grpc.py
+++ b/thornshelf/fronts/grpc.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Generator
 
 from glenshift.interface import Outcome, Reason
 from thornshelf.core import Dispatcher, GiveUp, OwnerCame, OwnerGone, SetUp
-from thornshelf.fronts.listener import Budget, Listener
+from thornshelf.fronts.listener import FIRST_US, REST_US, Budget, Listener
 from thornshelf.loop import Loop, Stream, Timer, Wait
 from thornshelf.wire import grpc, http2
 from thornshelf.wire import placement_pb2 as pb
 from thornshelf.wire.errors import WireError
+from thornshelf.wire.jsonl import MOST
 
 SERVICE = "/thornshelf.v1.Placement/"
 MARGIN_US = 3_000  # of a client's wait: the answer will be under way
+FRAMES_A_TURN = 32  # of one connection
 NEARLY_US = 20_000  # a task that fails so shortly before its call's end has failed for lack of time
 _OUTCOMES = {Outcome.OK: pb.ENDED, Outcome.CANCELLED: pb.CANCELLED}  # any other end: RESET
 _REASONS = {
@@ -40,8 +41,8 @@
 
 
 def _amount(value: float, name: str) -> float:
-    if not math.isfinite(value) or value < 0.0:
-        raise WireError(f"{name} is not a finite number of at least 0: {value}")
+    if not 0.0 <= value <= MOST:  # nor is NaN
+        raise WireError(f"{name} is not between 0 and {MOST:g}: {value}")
     return value
 
 
@@ -119,6 +120,10 @@
         """Failed: nothing is promised."""
         raise NotImplementedError
 
+    def reject(self, uid: int) -> None:
+        """Two set-ups under one id: their verdicts could not be told apart, so the call ends."""
+        self.finish(grpc.INVALID_ARGUMENT, f"two set-ups under the id {uid:016x}")
+
     def release(self, uid: int, outcome: Outcome, reason: Reason) -> None:
         """A task that stood is over."""
         raise NotImplementedError
@@ -140,9 +145,8 @@
     def ask(self, ask: pb.Ask) -> None:
         """Hand a set-up to the core."""
         core = self.session.front.core
-        terms = next((one for one in core.settings.classes if one.name == ask.task_class), None)
-        if terms is None:
-            raise WireError(f"class is not known: {ask.task_class!r:.40}", uid=ask.uid)
+        if (why := core.unusable(ask.task_class, ask.tenant or None)) is not None:
+            raise WireError(why, uid=ask.uid)
         try:
             left_ms = _amount(ask.left_ms, "left_ms")
             hint_ms = _amount(ask.hint_ms, "hint_ms") if ask.HasField("hint_ms") else None
@@ -150,7 +154,7 @@
         except WireError as fault:
             raise WireError(str(fault), uid=ask.uid) from None
         if not left_ms:
-            left_ms = terms.deadline_s * 1000.0
+            left_ms = core.classes[ask.task_class].deadline_s * 1000.0
         until = self.loop.arrived + int(min(left_ms, 1e9) * 1000)
         if self.until_us is not None:
             until = min(until, self.until_us)
@@ -330,6 +334,7 @@
         self.front, self.stream = front, stream
         self.http = http2.Http2(False, stream.send)
         self.calls: dict[int, Call] = {}
+        self.heard = False  # a call has come that is served here
 
     def take(self, event: http2.Event) -> None:
         """One event of the connection."""
@@ -390,6 +395,7 @@
                 self._refuse(event.stream, grpc.INVALID_ARGUMENT, str(fault))
                 return
             self.calls[event.stream] = kind(self, event.stream, timeout)
+            self.heard = True
 
 
 class GrpcFront:
@@ -402,12 +408,11 @@
         self.listener = Listener(loop, address, budget, self._serve, self.make_room)
 
     def make_room(self) -> bool:
-        """Close a connection on which nothing is open."""
-        for session in self._sessions:
-            if not session.calls and not session.stream.unsent:
-                session.stream.close()
-                return True
-        return False
+        """Close a connection on which nothing is open: one that has asked for nothing yet before others."""
+        idle = [one for one in self._sessions if not one.calls and not one.stream.unsent]
+        if idle:
+            min(idle, key=lambda one: one.heard).stream.close()
+        return bool(idle)
 
     def close_idle(self) -> None:
         """GOAWAY everywhere; streams without an open set-up end."""
@@ -424,11 +429,23 @@
 
     def _serve(self, stream: Stream) -> Generator[Wait, int, None]:
         session = Session(self, stream)
+        until: int | None = self.loop.now + FIRST_US
         self._sessions[session] = None
         try:
-            while data := (yield from stream.read()):
-                for event in session.http.receive(data):
-                    session.take(event)
+            while data := (yield from stream.read(until)):
+                began, events = session.http.midway, session.http.receive(data, FRAMES_A_TURN)
+                whole = bool(events)
+                while events or session.http.waiting:
+                    for event in events:
+                        session.take(event)
+                    if session.http.waiting:
+                        yield Wait(until=self.loop.now)
+                    events = session.http.receive(b"", FRAMES_A_TURN)
+                # The platform's front says why: nothing asked for, or a frame or message that never ends.
+                if session.heard and not session.http.midway:
+                    until = None
+                elif session.heard and (whole or not began):
+                    until = self.loop.now + REST_US
         except WireError as fault:
             self.refuse_input(stream.peer, fault)
             stream.flush()  # the GOAWAY that says why
--- a/thornshelf/fronts/listener.py
+++ b/thornshelf/fronts/listener.py
@@ -12,6 +12,8 @@
 BACKLOG = 1024
 BATCH = 64  # accepted in one turn, so that a flood of connections leaves time for tasks
 PAUSE_US = 20_000  # after the table of descriptors was full
+FIRST_US = 2_000_000  # a connection is given so long for its first whole message
+REST_US = 2_000_000  # and a message that has begun so long for its end
 
 
 class Budget:
--- a/thornshelf/fronts/platform.py
+++ b/thornshelf/fronts/platform.py
@@ -6,7 +6,7 @@
 
 from glenshift.interface import Outcome, Reason
 from thornshelf.core import Dispatcher, GiveUp, OwnerCame, OwnerGone, SetUp
-from thornshelf.fronts.listener import Budget, Listener
+from thornshelf.fronts.listener import FIRST_US, REST_US, Budget, Listener
 from thornshelf.loop import Chunk, Loop, Stream, Wait
 from thornshelf.wire import jsonl
 from thornshelf.wire.errors import WireError
@@ -15,6 +15,7 @@
 _RELEASED = {Outcome.OK: 16, Outcome.CANCELLED: 31}  # any other end: 41
 MOST_REMEMBERED = 32  # releases, before those that have left are forgotten
 MARGIN_US = 3_000  # of an owner's wait: its line was under way, and the answer will be
+LINES_A_TURN = 32  # of one connection, so that a flood leaves time for the others, nodes and timers
 
 
 class Connection:
@@ -25,6 +26,8 @@
     def __init__(self, front: PlatformFront, stream: Stream) -> None:
         self.front, self.stream = front, stream
         self.open: set[int] = set()
+        self.standing: set[int] = set()
+        self.heard = False  # it has sent a whole message that could be used
         self.releases: dict[int, tuple[Chunk, Outcome, Reason]] = {}
 
     @property
@@ -40,6 +43,7 @@
     def answer(self, uid: int, description: bytes) -> None:
         """The task stands."""
         self.open.discard(uid)
+        self.standing.add(uid)
         self.stream.send(jsonl.encode_line("running", uid, body=description))
 
     def refuse(self, uid: int, wait_us: int | None) -> None:
@@ -53,8 +57,13 @@
         self.open.discard(uid)
         self.stream.send(jsonl.encode_line("stop", uid, reason=FAILED))
 
+    def reject(self, uid: int) -> None:
+        """Two set-ups under one id: their answers could not be told apart, so the connection ends."""
+        self.stream.close()
+
     def release(self, uid: int, outcome: Outcome, reason: Reason) -> None:
         """The task is over."""
+        self.standing.discard(uid)
         line = jsonl.encode_line("stop", uid, reason=_RELEASED.get(outcome, FAILED))
         if len(self.releases) >= MOST_REMEMBERED:
             self.releases = {key: one for key, one in self.releases.items() if not one[0].whole}
@@ -62,6 +71,7 @@
 
     def move(self, uid: int) -> None:
         """The task is stopped, to be asked for again."""
+        self.standing.discard(uid)
         self.stream.send(jsonl.encode_line("migrate", uid))
 
 
@@ -75,12 +85,15 @@
         self.listener = Listener(loop, address, budget, self._serve, self.make_room)
 
     def make_room(self) -> bool:
-        """Close the connection that has had no open set-up for the longest time."""
-        for connection in self._connections:
-            if not connection.open and not connection.stream.unsent:
-                connection.stream.close()
-                return True
-        return False
+        """Close one without an open set-up: what has said nothing yet, then what holds no task, then others.
+
+        Guards against clients that open many connections and say nothing: they must not cost the usual ones
+        theirs. Of equals the one goes that has been without an open set-up for the longest time.
+        """
+        idle = [one for one in self._connections if not one.open and not one.stream.unsent]
+        if idle:
+            min(idle, key=lambda one: 2 * one.heard + bool(one.standing)).stream.close()
+        return bool(idle)
 
     def close_idle(self) -> None:
         """Close what has no open set-up; the end is near."""
@@ -93,11 +106,22 @@
         self._connections[connection] = None
         self.core.inbox.append(OwnerCame(connection))
         reader = jsonl.LineReader()
+        until: int | None = self.loop.now + FIRST_US
         try:
-            while data := (yield from stream.read()):
+            while data := (yield from stream.read(until)):
+                # Guards against those that say nothing, or begin a message and never end it: they hold one of
+                # few descriptors. Where nothing has begun, a connection that was of use may be idle for good.
+                began = reader.midway
                 reader.feed(data)
-                if not self._take_all(connection, reader):
+                while (count := self._take_some(connection, reader)) == LINES_A_TURN:
+                    yield Wait(until=self.loop.now)
+                if count < 0:
+                    stream.flush()
                     return
+                if connection.heard and not reader.midway:
+                    until = None
+                elif connection.heard and (count or not began):
+                    until = self.loop.now + REST_US
         finally:
             del self._connections[connection]
             unsent = [
@@ -107,21 +131,25 @@
             ]
             self.core.inbox.append(OwnerGone(connection, unsent))
 
-    def _take_all(self, connection: Connection, reader: jsonl.LineReader) -> bool:
-        """All whole lines; false where the connection can't go on."""
-        while True:
+    def _take_some(self, connection: Connection, reader: jsonl.LineReader) -> int:
+        """The next whole lines, and their number; below 0 where the connection can't go on."""
+        for count in range(LINES_A_TURN):
             try:
                 line = reader.next()
                 if line is None:
-                    return True
+                    return count
                 self._take(connection, line)
+                connection.heard = True
             except WireError as fault:
                 # Bad input costs its message, or where the framing is lost its connection, and nothing else.
                 self.core.log(4, "bad-line", {"peer": connection.peer}, str(fault))
+                uid = jsonl.UNNAMED if fault.uid is None else fault.uid
+                connection.stream.send(jsonl.encode_line("stop", uid, reason=UNREADABLE))
                 if fault.fatal:
-                    return False
-                if fault.uid is not None:
-                    connection.stream.send(jsonl.encode_line("stop", fault.uid, reason=UNREADABLE))
+                    return -1
+            if not connection.stream.open:
+                return -1
+        return LINES_A_TURN
 
     def _take(self, connection: Connection, line: jsonl.Line) -> None:
         match line.kind:
@@ -129,6 +157,7 @@
                 self._launch(connection, line)
             case "stop":
                 connection.open.discard(line.uid)
+                connection.standing.discard(line.uid)
                 self.core.inbox.append(GiveUp(line.uid))
             case "check":
                 connection.stream.send(jsonl.encode_line("checked", line.uid, reason=int(not self.ending)))
@@ -137,8 +166,8 @@
 
     def _launch(self, connection: Connection, line: jsonl.Line) -> None:
         fields = jsonl.launch_fields(line)
-        if fields.task_class not in self.core.classes:
-            raise WireError(f"class is not known: {fields.task_class!r:.40}", uid=line.uid)
+        if (why := self.core.unusable(fields.task_class, fields.tenant)) is not None:
+            raise WireError(why, uid=line.uid)
         if fields.at is None:
             connection.open.add(line.uid)
             # Keep the order of connections by their last set-up: the first is the one to close.
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -26,14 +26,15 @@
 if TYPE_CHECKING:
     from thornshelf.fronts.grpc import GrpcFront
 
-RESERVED = 96  # descriptors kept for nodes, change log, log and the rest
+RESERVED = 96  # descriptors kept for nodes, change log, log and the rest, where there are plenty
+RESERVED_SHARE = 4  # else one in so many
 SERVE_ON_US = 750_000  # after SIGTERM new requests keep coming for so long
 LINGER_US = 50_000  # for last lines to leave
 
 
 def client_share(config: Config) -> int:
     """How many descriptors clients may hold."""
-    return max(8, config.sockets - RESERVED)
+    return config.sockets - min(RESERVED, config.sockets // RESERVED_SHARE)
 
 
 class Service:
--- a/thornshelf/syslog.py
+++ b/thornshelf/syslog.py
@@ -13,6 +13,8 @@
 from thornshelf.wire import rfc5424
 
 MOST_HELD = 256 * 1024
+MOST_TEXT = 2048  # characters of one line's text, and of one value
+MOST_A_SECOND = 50  # lines under one message id: bad input may come by the thousand
 MOST_UNSENT = 64 * 1024  # handed to a collector's connection; the rest is held here
 RETRY_US = 20_000
 CONNECT_US = 1_000_000
@@ -122,6 +124,8 @@
         self._held: deque[bytes] = deque()
         self._size = self._dropped = 0
         self._waiting = False
+        self._second = 0
+        self._lines: dict[str, int] = {}  # in this second, by message id
         self._sink: Sink
         if collector is None:
             self._sink = StandardOutput()
@@ -132,10 +136,24 @@
 
     def __call__(self, severity: int, message_id: str, values: Mapping[str, object], text: str) -> None:
         """One line."""
+        if self.loop.now // 1_000_000 != self._second:
+            self._second, lines, self._lines = self.loop.now // 1_000_000, self._lines, {}
+            for name, count in lines.items():
+                if count > MOST_A_SECOND:
+                    self(
+                        rfc5424.WARNING,
+                        "log",
+                        {"id": name, "left_out": count - MOST_A_SECOND},
+                        "too many lines",
+                    )
+        count = self._lines[message_id] = self._lines.get(message_id, 0) + 1
+        if count > MOST_A_SECOND:
+            return
         if self._size > MOST_HELD:
             self._dropped += 1
             return
-        at = self.loop.now + self._offset
+        values = {name: str(value)[:MOST_TEXT] for name, value in values.items()}
+        at, text = self.loop.now + self._offset, text[:MOST_TEXT]
         line = rfc5424.format_line(severity, at, self.host, self.app, self._process, message_id, values, text)
         self._held.append(line)
         self._size += len(line)
--- a/thornshelf/wire/http2.py
+++ b/thornshelf/wire/http2.py
@@ -19,6 +19,7 @@
 from thornshelf.wire.grpc import Framer
 
 MOST_STREAMS = 128  # at once, opened by one client
+MOST_FRAMES = 1 << 20
 MOST_QUEUED = 256 * 1024  # bytes that wait on one stream for a peer that doesn't read
 _PREFACE = 24
 _GOAWAY = 7
@@ -187,11 +188,22 @@
         frame = GoAwayFrame(0, last_stream_id=self._last_seen, error_code=0)
         self._emit(frame.serialize())
 
-    def receive(self, data: bytes) -> list[Event]:
-        """Take bytes of the connection; a broken frame ends it by an error."""
+    @property
+    def midway(self) -> bool:
+        """A frame, or a message on some stream, has begun and not ended."""
+        return bool(self._held) or any(one.framer.midway for one in self._streams.values())
+
+    @property
+    def waiting(self) -> bool:
+        """A whole frame is held that ``receive`` left for the next time."""
+        return self._whole() > 0
+
+    def receive(self, data: bytes, most: int = MOST_FRAMES) -> list[Event]:
+        """Take bytes of the connection, and ``most`` frames at once; a broken frame ends it by an error."""
         events: list[Event] = []
         self._held += data
-        while (piece := self._piece()) is not None:
+        while most > 0 and (piece := self._piece()) is not None:
+            most -= 1
             if not self._preface and piece[3:4] == bytes((_GOAWAY,)):
                 # h2 closes the whole connection on this, but the open streams are to go on.
                 if len(piece) < 17:
@@ -215,17 +227,22 @@
 
     def _piece(self) -> bytes | None:
         """The preface, or the next whole frame."""
+        length = self._whole()
+        if not length:
+            return None
+        piece, self._held = self._held[:length], self._held[length:]
+        return piece
+
+    def _whole(self) -> int:
+        """The length of the whole piece that is held next; 0 for none."""
         length = self._preface
         if not length:
             if len(self._held) < 9:
-                return None
+                return 0
             length = 9 + int.from_bytes(self._held[:3], "big")
             if length > 9 + self._h2.max_inbound_frame_size:
                 raise WireError("frame is too long", fatal=True)
-        if len(self._held) < length:
-            return None
-        piece, self._held = self._held[:length], self._held[length:]
-        return piece
+        return length if len(self._held) >= length else 0
 
     def _take(self, event: h2.events.Event, events: list[Event]) -> None:
         match event:
--- a/thornshelf/wire/jsonl.py
+++ b/thornshelf/wire/jsonl.py
@@ -10,6 +10,7 @@
 from thornshelf.wire.errors import WireError
 
 MAX_MESSAGE = 16 * 1024
+MOST = 1e9  # no figure of a set-up is larger: milliseconds, cores or units of memory
 _HEX = frozenset("0123456789abcdefABCDEF")
 
 
@@ -39,6 +40,9 @@
     at: str | None
 
 
+UNNAMED = 0  # stands in a refusal for the id of a message whose own could not be read
+
+
 def read_hex(text: object, what: str) -> int:
     """A task's name or a service: 1 to 16 hex digits."""
     if not isinstance(text, str) or not 0 < len(text) <= 16 or not _HEX.issuperset(text):
@@ -58,8 +62,8 @@
 
 def _amount(value: object, what: str) -> float:
     number = _finite(value, what)
-    if number < 0.0:
-        raise WireError(f"{what} is below 0: {number:g}")
+    if not 0.0 <= number <= MOST:
+        raise WireError(f"{what} is not between 0 and {MOST:g}: {number:g}")
     return number
 
 
@@ -141,6 +145,11 @@
         """Take more bytes of the stream."""
         self._held += data
 
+    @property
+    def midway(self) -> bool:
+        """A line has begun and not ended."""
+        return bool(self._held)
+
     def next(self) -> Line | None:
         """The next message, or none until more bytes come; a bad line is passed over by its error."""
         while True:
