Drop a node's connection that is spoilt or says nothing more, though it stays open

Answers full of noise were passed on to clients as they came.

MessageReader waits for the end of whatever length it read, so a wrong one swallowed the releases that followed; BaseLink.run waits for ever on a connection that owes an answer and says nothing; platform._take took an answer with any description, or none, and skipped types that do not exist. And in the module each attempt on a broken connection was a sign of its own, so that one spoilt answer shut a machine out ('suspect ... broken').

Now a link that has begun a message, or has an offer out, is looked at every 0.1 s, and the looks are counted; a test (gRPC: PING) tells a slow node from a dead connection. Malformed and unknown messages, unreadable descriptions and releases without a cause end the connection; what was out may have run. All that breaks in one moment is one sign. After a first break the next connection is tried after 10 ms instead of 250.

--- a/glenshift/brain.py
+++ b/glenshift/brain.py
@@ -83,6 +83,7 @@
         self.view: tuple[float, ...] | None = None  # taken, and the limit by use: kept until news comes
         self.eased: tuple[float, float] | None = None
         self.strikes, self.probing = 0, False  # signs of trouble in a row
+        self.broke_at = -math.inf  # all that breaks in one moment is one sign: it was one connection
         self.suspect_until = self.shut_until = self.pressure = self.pressure_at = 0.0
         self.short: dict[str, tuple[float, tuple[float, float]]] = {}  # asks refused, by class, till when
         self.waits: dict[int, float] = {}  # own tasks that were offered and have not started, since when
@@ -599,6 +600,10 @@
     def suspect(self, m: Machine, why: str) -> None:
         """[D4] Gray failure: one sign makes a machine dear, as all may be slow; in a row they shut it out."""
         erred = why == Outcome.ERROR.value  # it may answer a probe as well as ever
+        if why == Outcome.BROKEN.value:
+            if self.now <= m.broke_at:
+                return
+            m.broke_at = self.now
         m.strikes += not self.stalled
         if self.stalled or m.strikes < STRIKES or self.now < (m.shut_until if erred else m.suspect_until):
             return
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -42,6 +42,9 @@
     RESET = b"reset"
     SILENT = b"say nothing"
     CUT = b"begin the binding and break off"
+    TWICE = b"run, and say so twice"
+    STRAY = b"run, after an answer for a task that nobody asked for"
+    FULL_TWICE = b"refuse twice"
 
 
 DESCRIPTION = "v=0\r\no=\u00e9".encode()  # of every answer
@@ -52,6 +55,7 @@
 
     def __init__(self, loop: Loop) -> None:
         self.loop = loop
+        self.deaf = False  # it reads, and does nothing at all
         self.seen: list[tuple[str, int]] = []
         self.running: set[int] = set()
         self.streams: list[Stream] = []
@@ -98,14 +102,21 @@
                 say.end(uid, 31, pb.CANCELLED)
             return
         conduct = Conduct(description)
-        if conduct in (Conduct.RUN, Conduct.END, Conduct.EVICT):
+        if conduct is Conduct.STRAY:
+            say.bind(uid ^ 0xFF00)
+        if conduct in (Conduct.RUN, Conduct.END, Conduct.EVICT, Conduct.TWICE, Conduct.STRAY):
             self.running.add(uid)
             say.progress(uid)
             say.bind(uid)
+        if conduct is Conduct.TWICE:
+            say.bind(uid)
+        if conduct is Conduct.FULL_TWICE:
+            say.end(uid, 34, pb.FULL, "lack_cpu", pb.NO_CORES)
         ends = {
             Conduct.END: (16, pb.ENDED),
             Conduct.EVICT: (41, pb.RESET, "killed", pb.EVICTED),
             Conduct.FULL: (34, pb.FULL, "lack_cpu", pb.NO_CORES),
+            Conduct.FULL_TWICE: (34, pb.FULL, "lack_cpu", pb.NO_CORES),
             Conduct.FAULT: (47, pb.ERROR),
             Conduct.MOOT: (102, pb.MOOT),
             Conduct.RESET: (41, pb.RESET),
@@ -123,7 +134,7 @@
     def serve(self, stream: Stream) -> Generator[Wait, int, None]:
         reader, say = binary.MessageReader(), _SayBinary(self.loop, stream)
         while data := (yield from stream.read()):
-            reader.feed(data)
+            reader.feed(b"" if self.deaf else data)
             while (message := reader.next()) is not None:
                 if message.type == binary.TEST:
                     values = {binary.CAUSE: b"\x01", binary.REPORT: b"x0:12;x1:40"}
@@ -162,7 +173,7 @@
         h2 = http2.Http2(False, stream.send)
         paths: dict[int, str] = {}
         while data := (yield from stream.read()):
-            for event in h2.receive(data):
+            for event in h2.receive(b"" if self.deaf else data):
                 if isinstance(event, http2.Opened):
                     paths[event.stream] = event.headers[":path"].rpartition("/")[2]
                     h2.respond(event.stream, [(":status", "200"), ("content-type", "application/grpc")])
--- /dev/null
+++ b/tests/test_bad_nodes.py
@@ -0,0 +1,135 @@
+"""Nodes whose answers come spoilt, halved or never: what has run fails or goes elsewhere."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tests.standins import BINARY, DESCRIPTION, GRPC, JSON, Conduct, World
+from thornshelf.nodes import base
+from thornshelf.wire import binary
+from thornshelf.wire import placement_pb2 as pb
+from thornshelf.wire.errors import WireError
+
+PLACED, FAILED = ("placed", DESCRIPTION), ("failed", None)
+ONCE_ONLY = "ledger-batch"
+WIRES = pytest.mark.parametrize(("front", "node"), [(JSON, BINARY), (GRPC, GRPC)])
+
+
+def standing_and_open(world: World) -> Any:
+    """One node with a task that stands and an unsafe one that is open."""
+    world.client.ask(5, Conduct.RUN)
+    world.heard(5)
+    world.client.ask(6, Conduct.SILENT, ONCE_ONLY)
+    world.until(lambda: world.offers(6) == 1)
+    return world.nodes[0]
+
+
+@WIRES
+@pytest.mark.parametrize("how", ["half", "deaf"])
+def test_a_connection_of_no_further_use_is_dropped_and_all_else_goes_on(
+    front: str, node: str, how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It stays open, so nothing but its silence tells; news of what stands there comes on the next."""
+    monkeypatch.setattr(base, "LOOK_US", 5_000)
+    world = World(front, node, nodes=1)
+    bad = standing_and_open(world)
+    if how == "half":
+        bad.streams[0].send(b"\x00\x40half" if node == BINARY else b"\x00\x00\x40\x00half")
+    else:
+        bad.deaf = True
+    assert world.heard(6) == [FAILED]  # it may have run
+    bad.deaf = False
+    world.until(lambda: len(bad.streams) == 2)
+    assert world.client.heard[5] == [PLACED] and world.offers(6) == 1
+    world.client.ask(7, Conduct.RUN)
+    assert world.heard(7) == [PLACED]
+    world.client.give_up(5)
+    world.until(lambda: ("release", 5) in bad.seen)
+
+
+def test_a_length_that_swallows_what_follows_is_noticed_though_bytes_keep_coming(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing is open on it, yet news of what stands there would be lost until the length is full."""
+    monkeypatch.setattr(base, "LOOK_US", 5_000)
+    world = World(nodes=1)
+    world.client.ask(5, Conduct.RUN)
+    world.heard(5)
+    (bad,) = world.nodes
+    bad.streams[0].send(b"\x2f\xff")
+    swallowed = 0
+    while len(bad.streams) == 1:
+        bad.streams[0].send(binary.encode(binary.PROGRESS, 5))
+        swallowed += 1
+        world.settle(2)
+    assert swallowed < 100 and world.client.heard[5] == [PLACED]
+
+
+@WIRES
+def test_a_safe_task_on_it_goes_elsewhere(front: str, node: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(base, "LOOK_US", 5_000)
+    world = World(front, node)
+    world.until(lambda: all(one.streams for one in world.nodes))
+    world.settle(20)
+    for one in world.nodes:
+        one.deaf = True
+    world.client.ask(5, Conduct.RUN)
+    core = world.service.core
+    world.until(lambda: 5 in core._tasks and core._tasks[5].attempt is not None)
+    attempt: Any = core._tasks[5].attempt
+    other = world.nodes[2 - attempt.machine]
+    other.deaf = False
+    assert world.heard(5) == [PLACED] and other.offers(5) == 1
+
+
+@WIRES
+def test_a_node_that_takes_its_time_keeps_its_connection(
+    front: str, node: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It answers the test: what it owes may well be on its way."""
+    monkeypatch.setattr(base, "LOOK_US", 2_000)
+    world = World(front, node, nodes=1)
+    slow = standing_and_open(world)
+    world.settle(5 * base.DEAF_LOOKS * 2)
+    assert len(slow.streams) == 1 and slow.streams[0].open and 6 not in world.client.heard
+
+
+SPOILT = [
+    binary.encode(binary.ANSWER, 6),
+    binary.encode(binary.ANSWER, 6, {binary.DESCRIPTION: b"noise \xff\xfe"}),
+    binary.encode(binary.RELEASE, 6),
+    binary.encode(99, 6, {binary.DESCRIPTION: DESCRIPTION}),
+    binary.encode(binary.ANSWER, 6, {binary.DESCRIPTION: DESCRIPTION})[:-1] + b"\x00\x01",
+]
+
+
+@pytest.mark.parametrize("spoilt", SPOILT)
+def test_a_spoilt_answer_is_never_passed_on(spoilt: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(base, "LOOK_US", 5_000)
+    world = World(nodes=1)
+    bad = standing_and_open(world)
+    bad.streams[0].send(spoilt)
+    assert world.heard(6) == [FAILED] and world.offers(6) == 1
+    assert world.client.heard[5] == [PLACED]
+    world.until(lambda: len(bad.streams) == 2)
+
+
+def test_a_binding_without_a_description_is_never_passed_on() -> None:
+    world = World(JSON, GRPC, nodes=1)
+    node = standing_and_open(world)
+    link: Any = world.service.core._nodes[1].link  # type: ignore[attr-defined]
+    with pytest.raises(WireError, match="without a description"):
+        link._report(pb.NodeReport(uid=6, binding=pb.Binding()))
+    assert node.offers(6) == 1
+
+
+def test_a_connection_that_breaks_while_new_is_made_anew_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against offers that wait out a pause meant for nodes that end every connection."""
+    monkeypatch.setattr(base, "RETRY_US", 60_000_000)
+    world = World(nodes=1)
+    standing_and_open(world)
+    world.nodes[0].break_streams()
+    world.client.ask(7, Conduct.RUN)
+    assert world.heard(7) == [PLACED]
--- a/tests/test_both_wires.py
+++ b/tests/test_both_wires.py
@@ -19,6 +19,9 @@
     (Conduct.RUN, ONCE_ONLY, [PLACED], 1),
     (Conduct.END, "lookup", [PLACED, ("released", pb.ENDED)], 1),
     (Conduct.EVICT, ONCE_ONLY, [PLACED, ("released", pb.RESET)], 1),
+    (Conduct.TWICE, "lookup", [PLACED], 1),  # a second answer, and one that nobody waits for, mean nothing
+    (Conduct.STRAY, "lookup", [PLACED], 1),
+    (Conduct.FULL_TWICE, ONCE_ONLY, [REFUSED], 2),
     (Conduct.FULL, "lookup", [REFUSED], 2),
     (Conduct.FULL, ONCE_ONLY, [REFUSED], 2),
     (Conduct.MOOT, ONCE_ONLY, [REFUSED], 2),
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -301,6 +301,16 @@
     assert errors(one, 2.2, 4, 0) == [1]
 
 
+def test_what_breaks_in_one_moment_is_one_sign() -> None:
+    """A spoilt answer costs a connection and all that was on it: that shuts out no machine."""
+    one = placer(entry(1))
+    one.handle(1.0, [ask(request) for request in range(5)])
+    one.handle(1.1, [ended(request, 1, api.Outcome.BROKEN) for request in range(4)])
+    assert one.machines[1].strikes == 1 and one.machines[1].suspect_until == 0.0
+    one.handle(1.2, [ended(4, 1, api.Outcome.BROKEN)])
+    assert one.machines[1].suspect_until > 1.2
+
+
 def test_room_is_not_kept_for_what_no_machine_could_hold() -> None:
     """Guards against one absurd ask that keeps the roomiest machine from all others for a minute."""
     one = placer(entry(1), using=settings(placers=2))
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -14,7 +14,12 @@
 
 PROBE_US = 250_000  # a probe is not waited for longer
 RETRY_US = 250_000  # pause between connects where tasks stand and the node can't be reached
-LOOK_US = 20_000  # a connection that only finishes what is out is looked at so often
+AGAIN_US = 10_000  # pause after a connection broke, where the one before had lasted
+FINISH_US = 20_000  # a connection that only finishes what is out is looked at so often
+LOOK_US = 100_000  # one that owes something is looked at so often, and its looks without a byte are counted:
+HALF_LOOKS = 3  # so many, and a message that has begun is not going to end
+QUIET_LOOKS = 4  # so many, and it is tested
+DEAF_LOOKS = 12  # so many, and it is of no further use
 IDLE_SHARE = 0.8  # an idle connection is closed this far into the time after which the node would close it
 
 REPORT_FIELDS = {
@@ -42,6 +47,11 @@
     def __init__(self, node: BaseNode, stream: Stream) -> None:
         self.node, self.stream = node, stream
         self.accepting = True  # False: it only finishes what is out, and new offers wait for the next
+        self._why = "connection ended by the node or the network"
+        self._watching = self._tested = False
+        self._looks = 0  # since its last byte
+        self._half_looks = 0  # since its last whole message
+        self.messages = 0  # whole ones so far
 
     def offer(self, attempt: Attempt) -> None:
         """Send a set-up."""
@@ -67,12 +77,53 @@
         """Bytes of the connection; says why it is over, where it is."""
         raise NotImplementedError
 
+    def test(self) -> None:
+        """Ask for any byte at all."""
+        raise NotImplementedError
+
+    @property
+    def midway(self) -> bool:
+        """A message has begun and not ended."""
+        raise NotImplementedError
+
+    def watch(self) -> None:
+        """See to it that what it owes comes.
+
+        Guards against a spoilt connection that stays open: where a length swallows what follows, or an
+        answer breaks off or never comes, all else on it, news of standing tasks too, would wait for nothing.
+        Looks are counted, not time: a late turn of our own is one look, and the next reads what came.
+        """
+        if not self._watching:
+            self._watching = True
+            self.node.loop.after(LOOK_US, self._look)
+
+    def _look(self) -> None:
+        self._watching = False
+        if not self.stream.open or not (self.midway or self._tested or self.node.out):
+            self._looks = 0
+            return
+        self._looks += 1
+        self._half_looks += 1
+        if self.midway and self._half_looks >= HALF_LOOKS:
+            self._end("a message broke off")
+        elif self._looks >= DEAF_LOOKS:
+            self._end("it says nothing more")
+        else:
+            if self._looks >= QUIET_LOOKS and not self._tested:
+                self._tested = True
+                self.test()
+            self.watch()
+
+    def _end(self, why: str) -> None:
+        self._why = why
+        self.stream.close()
+
     def run(self) -> Generator[Wait, int, str]:
         """Read until the connection ends or has long been idle; says why it ended, or nothing."""
         node = self.node
         quiet_since = node.loop.now
         while True:
-            wait = LOOK_US if not self.accepting else node.idle_after_us() // 4
+            wait = FINISH_US if not self.accepting else node.idle_after_us() // 4
             data = yield from self.stream.read(node.loop.now + wait)
             if data is None:
                 if not node.idle:
@@ -80,14 +131,20 @@
                 elif node.loop.now - quiet_since >= node.idle_after_us():
                     return ""
             elif not data:
-                return "connection ended by the node or the network"
+                return self._why
             else:
                 quiet_since = node.loop.now
+                self._looks, self._tested, before = 0, False, self.messages
+                began = self.midway
                 try:
                     if (why := self.take(data)) is not None:
                         return why
                 except WireError as fault:
                     return f"unreadable: {fault}"
+                if self.midway:
+                    if not began or self.messages > before:
+                        self._half_looks = 0  # it is another message that has begun
+                    self.watch()
             if not self.accepting and not node.out:
                 return "the node wants another connection"
 
@@ -122,12 +179,16 @@
     def offer(self, attempt: Attempt) -> None:
         """Send a set-up now, or once the connection is up."""
         if self.link is not None and self.link.accepting:
-            self.out[attempt.uid] = attempt
-            self.link.offer(attempt)
+            self._send(self.link, attempt)
         else:
             self.pending.append(attempt)
             self._need()
 
+    def _send(self, link: BaseLink, attempt: Attempt) -> None:
+        self.out[attempt.uid] = attempt
+        link.offer(attempt)
+        link.watch()
+
     def withdraw(self, attempt: Attempt) -> bool:
         """Give an attempt up."""
         if attempt in self.pending:
@@ -235,6 +296,7 @@
     def _serve(self) -> Generator[Wait, int, None]:
         """Connect, serve, and again for as long as something is wanted there."""
         broke = False  # the last connection did, and it is not known yet whether the process still lives
+        short = False  # and it had hardly begun
         while not self.closed and (self._greeting or not self.idle):
             self._greeting = False
             timeout = self.core.settings.limits.connect_timeout_s or 0.25
@@ -257,9 +319,10 @@
             broke = True
             if not self.closed and why:
                 self.core.log(5, "node-closed", {"node": self.name, "standing": len(self.standing)}, why)
-                # A node that ends each connection at once is not called in a tight circle.
-                short = self.loop.now - began < RETRY_US
-                yield Wait(until=self.loop.now + (RETRY_US if short else 1000))
+                # A node that ends each connection at once is not called in a tight circle, but a connection
+                # that is reset while new must not make offers wait.
+                again, short = short, self.loop.now - began < RETRY_US
+                yield Wait(until=self.loop.now + (RETRY_US if short and again else AGAIN_US))
 
     def _serve_link(self, stream: Stream) -> Generator[Wait, int, str]:
         link = self.link = self.make_link(stream)
@@ -268,9 +331,7 @@
                 link.cut(uid)
             self.cuts.clear()
             while self.pending:
-                attempt = self.pending.popleft()
-                self.out[attempt.uid] = attempt
-                link.offer(attempt)
+                self._send(link, self.pending.popleft())
             if self._probe_wanted:
                 self._probe_wanted = False
                 link.probe()
--- a/thornshelf/nodes/grpc.py
+++ b/thornshelf/nodes/grpc.py
@@ -67,6 +67,15 @@
         self._http.send(self._probe, grpc.frame(pb.ProbeRequest()))
         self._http.finish(self._probe, [])
 
+    def test(self) -> None:
+        """HTTP/2's own PING."""
+        self._http.ping()
+
+    @property
+    def midway(self) -> bool:
+        """A frame or message has begun and not ended."""
+        return self._http.midway
+
     def take(self, data: bytes) -> str | None:
         """Bytes of the connection; says why it is over, where it is."""
         for event in self._http.receive(data):
@@ -79,6 +88,7 @@
             elif event.stream == self._bind:
                 match event:
                     case http2.Received(data=message):
+                        self.messages += 1
                         self._report(grpc.parse(pb.NodeReport, message))
                     case http2.Ended(trailers=trailers):
                         return f"stream ended with status {trailers.get('grpc-status', 'none')}"
@@ -114,6 +124,8 @@
         node, uid = self.node, report.uid
         match report.WhichOneof("kind"):
             case "binding":
+                if not report.binding.description:
+                    raise WireError("binding without a description", fatal=True)
                 self._sent.pop(uid, None)
                 node.started(uid)
                 node.core.inbox.append(Started(node.machine, uid, report.binding.description))
--- a/thornshelf/nodes/platform.py
+++ b/thornshelf/nodes/platform.py
@@ -10,6 +10,7 @@
 from thornshelf.wire.errors import WireError
 
 GIVEN_UP = ENDED = 16
+PROBE, LINK_TEST = 0, 1  # the ids of tests, which name no task
 _BEFORE = {34: Outcome.REFUSED, 47: Outcome.ERROR, 102: Outcome.NOT_SENT}  # any other cause: it broke
 _AFTER = {16: Outcome.OK, 31: Outcome.CANCELLED}
 _REASONS = {
@@ -71,12 +72,22 @@
 
     def probe(self) -> None:
         """A test with cause 1 asks for a report."""
-        self.stream.send(binary.encode(binary.TEST, 0, {binary.CAUSE: b"\x01"}))
+        self.stream.send(binary.encode(binary.TEST, PROBE, {binary.CAUSE: b"\x01"}))
+
+    def test(self) -> None:
+        """A test with cause 0 is answered by a node that still listens to this connection."""
+        self.stream.send(binary.encode(binary.TEST, LINK_TEST, {binary.CAUSE: b"\x00"}))
+
+    @property
+    def midway(self) -> bool:
+        """A message has begun and not ended."""
+        return self._reader.midway
 
     def take(self, data: bytes) -> str | None:
         """Bytes of the connection."""
         self._reader.feed(data)
         while (message := self._reader.next()) is not None:
+            self.messages += 1
             self._take(message)
         return None
 
@@ -92,16 +103,16 @@
         node, uid, values = self.node, message.uid, message.values
         match message.type:
             case binary.ANSWER:
-                self._started(uid, values.get(binary.DESCRIPTION, b""))
+                self._started(uid, _description(message))
             case binary.RELEASE:
+                if message.cause is None:
+                    raise WireError("release without a cause", fatal=True)
                 if uid in self._chunks and message.cause == ENDED and binary.DESCRIPTION in values:
                     # Guards against trying elsewhere what has run: a task whose time is over as it starts is
                     # answered and released by this one message, which alone carries a description.
-                    self._started(uid, values[binary.DESCRIPTION])
+                    self._started(uid, _description(message))
                 before = self._chunks.pop(uid, None) is not None
-                cause = message.cause
-                table = _BEFORE if before else _AFTER
-                outcome = table.get(cause, Outcome.BROKEN) if cause is not None else Outcome.BROKEN
+                outcome = (_BEFORE if before else _AFTER).get(message.cause, Outcome.BROKEN)
                 reason = _REASONS.get(message.text(binary.NOTE_NAME) or "", Reason.UNTOLD)
                 report = read_report(binary.read_report(message.text(binary.REPORT)))
                 node.finished(uid, outcome, reason, report)
@@ -112,14 +123,31 @@
                     level = 1.0
                 if fact is not None and level is not None:
                     node.core.inbox.append(Noted(node.machine, uid, fact, level))
+            case binary.TESTED if uid == LINK_TEST:
+                pass  # that it came is all
             case binary.TESTED:
                 passed = message.cause == 1
                 report = read_report(binary.read_report(message.text(binary.REPORT)))
                 node.probed(Outcome.OK if passed else Outcome.ERROR, report)
             case binary.TEST:
                 self.stream.send(binary.encode(binary.TESTED, uid, {binary.CAUSE: b"\x01"}))
+            case binary.PROGRESS | binary.RELEASE_HEARD:
+                pass  # these mean nothing
             case _:
-                pass  # progress and what is heard mean nothing; later types are skipped
+                # Guards against reading on where a length did not fit: what follows is no message either.
+                raise WireError(f"type {message.type} is not known", fatal=True)
+
+
+def _description(message: binary.Message) -> bytes:
+    """What the node made for the task: text, as the platform's clients get it. Else the answer is spoilt."""
+    value = message.values.get(binary.DESCRIPTION, b"")
+    try:
+        value.decode("utf-8", "surrogatepass")
+    except UnicodeDecodeError:
+        raise WireError(f"description is no text: {value[:40]!r}", fatal=True) from None
+    if not value:
+        raise WireError("answer without a description", fatal=True)
+    return value
 
 
 class PlatformNode(BaseNode):
--- a/thornshelf/wire/binary.py
+++ b/thornshelf/wire/binary.py
@@ -97,6 +97,11 @@
         """Take more bytes of the stream."""
         self._held += data
 
+    @property
+    def midway(self) -> bool:
+        """A message has begun and not ended."""
+        return bool(self._held)
+
     def next(self) -> Message | None:
         """The next message, or none until more bytes come."""
         if len(self._held) < 2:
--- a/thornshelf/wire/http2.py
+++ b/thornshelf/wire/http2.py
@@ -183,6 +183,11 @@
         """The connection is over: nothing more is sent."""
         self._streams.clear()
 
+    def ping(self) -> None:
+        """Ask for any byte at all."""
+        self._h2.ping(b"thornshf")
+        self._flush()
+
     def go_away(self) -> None:
         """Take no new streams; those that are open go on, which h2's own close would not allow."""
         frame = GoAwayFrame(0, last_stream_id=self._last_seen, error_code=0)
