Keep the tasks of a draining node: its refused connects prove nothing after a restart

With each NodeLost logged, 11, 14 and 18 tasks on three machines were released 10 ms after the restarted dispatcher was ready; all three were listed as draining (7.5 to 12.9 s) and gone only at 18.4 and 19.6 s.

Cause: BaseNode._serve took a refused connect as proof of a dead process wherever tasks stood; a draining node takes no new connections while its tasks run on. Now it proves that there only after the node itself ended the connection before; else the list tells. What proved a node dead, and what no list names, is logged.

Ruled out: the list arriving late after the restart ('unlisted' was never logged); later starts under one name.

--- a/tests/test_bad_nodes.py
+++ b/tests/test_bad_nodes.py
@@ -125,6 +125,25 @@
     assert node.offers(6) == 1
 
 
+@pytest.mark.parametrize("lifecycle", ["terminating", "in_service"])
+def test_a_refused_connect_proves_a_draining_node_dead_only_after_its_own_break(lifecycle: str) -> None:
+    """A draining node listens no more, and its tasks run on: a new dispatcher must not release them."""
+    world = World(nodes=1)
+    (node,) = world.nodes
+    world.loop.cancel(node._accepting)
+    world.loop.forget(node.sock.fileno())
+    node.sock.close()
+    world.tell_entry(world.entry(0) | {"instanceId": "s-00000009", "lifecycle": lifecycle})
+    world.client.ask(5, Conduct.RUN, at="s-00000009")
+    world.until(lambda: 5 in world.service.core._tasks or 5 in world.client.heard)
+    if lifecycle == "in_service":
+        world.heard(5)
+    else:
+        world.settle(600)
+        assert world.client.heard == {}
+    assert len([one for one in world.logged if one[1] == "node-dead"]) == (lifecycle == "in_service")
+
+
 def test_a_connection_that_breaks_while_new_is_made_anew_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against offers that wait out a pause meant for nodes that end every connection."""
     monkeypatch.setattr(base, "RETRY_US", 60_000_000)
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -234,6 +234,7 @@
 
     def _check_listed(self, uid: int, machine: int) -> None:
         if machine not in self._nodes:
+            self.log(5, "unlisted", {"uid": f"{uid:016x}", "machine": machine}, "no list names its node")
             self._forget(machine)
             self.inbox.append(Finished(machine, uid, Outcome.BROKEN))
 
@@ -364,6 +365,8 @@
             # Drains are measured to the first byte sent: what is still buffered must not go out.
             for attempt in self._nodes[machine].drain():
                 self.inbox.append(Finished(machine, attempt.uid, Outcome.NOT_SENT))
+        else:
+            self._nodes[machine].resume()
 
     def _gone(self, machine: int) -> None:
         if (node := self._nodes.pop(machine, None)) is not None:
--- a/thornshelf/core/model.py
+++ b/thornshelf/core/model.py
@@ -85,6 +85,9 @@
     def drain(self) -> list[Attempt]:
         """Nothing new may leave from now on; gives back the attempts of which no byte had left."""
 
+    def resume(self) -> None:
+        """It does not drain, or no longer."""
+
     def close(self) -> None:
         """The node is gone: drop the connection without a word."""
 
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -22,6 +22,8 @@
 DEAF_LOOKS = 12  # so many, and it is of no further use
 IDLE_SHARE = 0.8  # an idle connection is closed this far into the time after which the node would close it
 
+ENDED = "connection ended by the node or the network"
+
 REPORT_FIELDS = {
     "active": "active",
     "waiting": "waiting",
@@ -47,7 +49,7 @@
     def __init__(self, node: BaseNode, stream: Stream) -> None:
         self.node, self.stream = node, stream
         self.accepting = True  # False: it only finishes what is out, and new offers wait for the next
-        self._why = "connection ended by the node or the network"
+        self._why = ENDED
         self._watching = self._tested = False
         self._looks = 0  # since its last byte
         self._half_looks = 0  # since its last whole message
@@ -161,7 +163,7 @@
         self.standing: set[int] = set()
         self.cuts: dict[int, None] = {}  # to be ended as soon as there is a connection
         self.link: BaseLink | None = None
-        self.closed = False
+        self.closed = self.draining = False
         # Guards against lost news: what a node tells of the tasks that it is handed over with (their use of
         # cores and memory) goes to an open connection, and only the last word of it waits for one. So the
         # connection is there before they are.
@@ -232,6 +234,7 @@
 
     def drain(self) -> list[Attempt]:
         """Nothing new from now on; what has not left is called back."""
+        self.draining = True
         kept = list(self.pending)
         self.pending.clear()
         for uid, attempt in list(self.out.items()):
@@ -240,6 +243,10 @@
                 kept.append(attempt)
         return kept
 
+    def resume(self) -> None:
+        """It takes offers."""
+        self.draining = False
+
     def close(self) -> None:
         """The node is gone."""
         self.closed = True
@@ -295,7 +302,9 @@
 
     def _serve(self) -> Generator[Wait, int, None]:
         """Connect, serve, and again for as long as something is wanted there."""
-        broke = False  # the last connection did, and it is not known yet whether the process still lives
+        broke = (
+            False  # the node ended the last connection; it is not known yet whether its process still lives
+        )
         short = False  # and it had hardly begun
         while not self.closed and (self._greeting or not self.idle):
             self._greeting = False
@@ -305,9 +314,13 @@
             stream = yield from connect(self.loop, self.host, self.port, until)
             if isinstance(stream, int):
                 self._not_connected()
-                if stream == errno.ECONNREFUSED and (broke or self.standing):
+                if stream == errno.ECONNREFUSED and (broke or (self.standing and not self.draining)):
                     # Guards against waiting for the list: a refused connection proves the process dead, and
-                    # a dying process cuts its tasks, whose releases are owed at once.
+                    # a dying process cuts its tasks, whose releases are owed at once. But a draining node
+                    # refuses new connections while its tasks run on: there the old one must have ended, too.
+                    self.core.log(
+                        5, "node-dead", {"node": self.name, "standing": len(self.standing)}, "refused"
+                    )
                     self.standing.clear()
                     self.core.inbox.append(NodeLost(self.machine))
                     broke = False
@@ -316,7 +329,7 @@
                 yield Wait(until=max(self.loop.now, began) + RETRY_US)
                 continue
             why = yield from self._serve_link(stream)
-            broke = True
+            broke = why == ENDED
             if not self.closed and why:
                 self.core.log(5, "node-closed", {"node": self.name, "standing": len(self.standing)}, why)
                 # A node that ends each connection at once is not called in a tight circle, but a connection
