Make room for each connection of a crowd by one that is still open

Cause: listener._accept asked make_room for each connection of a batch, and make_room gave the same connection again, closed but not yet out of the front's table, so a batch of 64 closed one and the table ran full until accept and the nodes' connects failed. It was also asked before accept, so the last round closed one for nobody. One release more was lost with a connection that was closed just after it was written, its input still unread.

Now the budget counts open sockets (Stream.on_close), room is made after accept, by connections that are still open, found 32 at a time instead of by a scan for each; one just written to is left for 0.1 s.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -201,6 +201,37 @@
     assert not world.client.closed
 
 
+@FRONTS
+def test_a_crowd_in_one_turn_takes_no_more_descriptors_than_there_are(front: str) -> None:
+    """Guards against making room twice by one connection that is closed already: the table ran full."""
+    world = World(front)
+    budget = world.service._budget
+    budget.most = 10
+    crowd = [stranger(world, front) for _ in range(50)]
+    most, listener = 0, world.service.fronts[front == GRPC]
+    while budget.used < 10 or any(sock.fileno() < 0 for sock in crowd):
+        world.loop.turn()
+    for _ in range(20):
+        world.loop.after(1000, lambda: None)
+        world.loop.turn()
+        clients: Any = listener._spares._clients
+        most = max(most, sum(one.stream.open for one in clients))
+    assert most <= 11  # one may be in hand until there is room
+    for sock in crowd:
+        sock.close()
+
+
+def test_a_connection_is_not_closed_for_room_while_its_release_is_on_its_way() -> None:
+    world = World()
+    world.client.ask(5, Conduct.END)
+    world.heard(5, 2)
+    (connection,) = world.service.front._connections
+    connection.stream.sent_us = world.loop.now
+    assert not world.service.front.make_room()
+    connection.stream.sent_us = 0
+    assert world.service.front.make_room()
+
+
 @FRONTS
 def test_nothing_is_kept_of_clients_and_nodes_that_went(front: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(dispatcher, "UNLISTED_US", 100_000)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -322,7 +322,7 @@
 def _stream(loop: Loop, sock: socket.socket) -> Stream:
     """A stream over a pair of sockets; TCP's options don't apply to it."""
     stream = Stream.__new__(Stream)
-    stream.loop, stream.sock = loop, sock
+    stream.loop, stream.sock, stream.on_close = loop, sock, None
     return stream
 
 
--- a/thornshelf/fronts/grpc.py
+++ b/thornshelf/fronts/grpc.py
@@ -6,7 +6,7 @@
 
 from glenshift.interface import Outcome, Reason
 from thornshelf.core import Dispatcher, GiveUp, OwnerCame, OwnerGone, SetUp
-from thornshelf.fronts.listener import FIRST_US, REST_US, Budget, Listener
+from thornshelf.fronts.listener import FIRST_US, REST_US, Budget, Listener, Spares, resting
 from thornshelf.loop import Loop, Stream, Timer, Wait
 from thornshelf.wire import grpc, http2
 from thornshelf.wire import placement_pb2 as pb
@@ -336,6 +336,16 @@
         self.calls: dict[int, Call] = {}
         self.heard = False  # a call has come that is served here
 
+    @property
+    def idle(self) -> bool:
+        """Closing it costs its client no answer."""
+        return self.stream.open and not self.calls and (not self.heard or resting(self.stream))
+
+    @property
+    def worth(self) -> int:
+        """Least where nothing of use has come."""
+        return int(self.heard)
+
     def take(self, event: http2.Event) -> None:
         """One event of the connection."""
         if isinstance(event, http2.Opened):
@@ -405,14 +415,12 @@
         self.loop, self.core = loop, core
         self.ending = False
         self._sessions: dict[Session, None] = {}
+        self._spares = Spares(self._sessions)
         self.listener = Listener(loop, address, budget, self._serve, self.make_room)
 
     def make_room(self) -> bool:
         """Close a connection on which nothing is open: one that has asked for nothing yet before others."""
-        idle = [one for one in self._sessions if not one.calls and not one.stream.unsent]
-        if idle:
-            min(idle, key=lambda one: one.heard).stream.close()
-        return bool(idle)
+        return self._spares.close_one()
 
     def close_idle(self) -> None:
         """GOAWAY everywhere; streams without an open set-up end."""
--- a/thornshelf/fronts/platform.py
+++ b/thornshelf/fronts/platform.py
@@ -6,7 +6,7 @@
 
 from glenshift.interface import Outcome, Reason
 from thornshelf.core import Dispatcher, GiveUp, OwnerCame, OwnerGone, SetUp
-from thornshelf.fronts.listener import FIRST_US, REST_US, Budget, Listener
+from thornshelf.fronts.listener import FIRST_US, REST_US, Budget, Listener, Spares, resting
 from thornshelf.loop import Chunk, Loop, Stream, Wait
 from thornshelf.wire import jsonl
 from thornshelf.wire.errors import WireError
@@ -35,6 +35,16 @@
         """Its connection is open."""
         return self.stream.open
 
+    @property
+    def idle(self) -> bool:
+        """Closing it costs its client no answer."""
+        return self.stream.open and not self.open and (not self.heard or resting(self.stream))
+
+    @property
+    def worth(self) -> int:
+        """Least where nothing of use has come, more where a task stands."""
+        return 2 * self.heard + bool(self.standing)
+
     @property
     def peer(self) -> str:
         """The client's host."""
@@ -82,6 +92,7 @@
         self.loop, self.core = loop, core
         self.ending = False
         self._connections: dict[Connection, None] = {}
+        self._spares = Spares(self._connections)
         self.listener = Listener(loop, address, budget, self._serve, self.make_room)
 
     def make_room(self) -> bool:
@@ -90,10 +101,7 @@
         Guards against clients that open many connections and say nothing: they must not cost the usual ones
         theirs. Of equals the one goes that has been without an open set-up for the longest time.
         """
-        idle = [one for one in self._connections if not one.open and not one.stream.unsent]
-        if idle:
-            min(idle, key=lambda one: 2 * one.heard + bool(one.standing)).stream.close()
-        return bool(idle)
+        return self._spares.close_one()
 
     def close_idle(self) -> None:
         """Close what has no open set-up; the end is near."""
--- a/thornshelf/loop/stream.py
+++ b/thornshelf/loop/stream.py
@@ -5,7 +5,7 @@
 import errno
 import socket
 from collections import deque
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 
 from thornshelf.loop.loop import IN, OUT, Loop, Task, Wait
 
@@ -42,6 +42,8 @@
         self._writer: Task | None = None
         self._queued = False
         self._ending = False
+        self.on_close: Callable[[], None] | None = None
+        self.sent_us = 0  # when it last had something to send
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -50,6 +52,7 @@
         chunk = Chunk(data)
         if self.open and not self._ending:
             self._out.append(chunk)
+            self.sent_us = self.loop.now
             self.unsent += len(data)
             if self.unsent > MOST_UNSENT:
                 self.close()
@@ -105,6 +108,8 @@
             self.open = False
             self.loop.forget(self.fd)
             self.sock.close()
+            if self.on_close is not None:
+                self.on_close()
 
     def _drain(self) -> Generator[Wait, int, None]:
         try:
