Tell releases to connections that asked for tasks, not to strangers on the same host

Bad clients call from the usual clients' hosts.

Cause: core._other fell back to the newest connection of the same host, and _pay paid whoever had just connected from it. Now releases go to a connection that a task was placed for (same host first; any after 0.3 s), else to one that asked for a task, and only with neither to the host's newest. Ruled out: the planned stops (all lost ones ended seconds after the restarts) and releases held for want of a served connection ('owed' was 0).

Also: a task that its owner ends on another connection no longer stays in its own connection's table; owed releases are bounded; and a test holds the module's picture (in flight, standing, cores) against the sockets turn by turn.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from glenshift.interface import Outcome, Reason
 from tests.standins import BINARY, DESCRIPTION, GRPC, HOST, JSON, LIMIT_S, Conduct, World
 from thornshelf.core import dispatcher
 from thornshelf.fronts import grpc as grpc_front
@@ -161,7 +162,8 @@
     world = World(nodes=1)
     world.client.ask(5, Conduct.RUN)
     world.heard(5)
-    sound, silent = stranger(world, JSON, "127.0.0.2"), stranger(world, JSON, "127.0.0.3")
+    # one of the strangers calls from the client's own host
+    sound, silent = stranger(world, JSON, "127.0.0.2"), stranger(world, JSON, "127.0.0.1")
     meta = {"class": "lookup", "left": 8000, "extras": "cores:1;memory:2"}
     line = {"kind": "launch", "uid": f"{6:016x}", "meta": meta, "body": Conduct.RUN.value.decode()}
     sound.sendall(json.dumps(line).encode() + b"\n")
@@ -221,6 +223,34 @@
         sock.close()
 
 
+@FRONTS
+def test_a_task_ended_on_another_connection_leaves_nothing_on_its_own(front: str) -> None:
+    """Guards against a table that grows for as long as a connection lasts."""
+    world = World(front)
+    world.client.ask(5, Conduct.RUN)
+    world.heard(5)
+    owner: Any = world.service.core._tasks[5].owner
+    assert owner.standing == {5}
+    world.join(front).give_up(5)
+    world.until(lambda: 5 not in world.service.core._tasks)
+    assert not owner.standing and world.client.heard[5] == [PLACED]
+
+
+def test_releases_that_no_client_comes_for_are_not_kept_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(dispatcher, "OWED_US", 20_000)
+    world = World(nodes=1)
+    for uid in (5, 6):
+        world.client.ask(uid, Conduct.RUN)
+        world.heard(uid)
+    world.client.stream.close()
+    world.settle(10)
+    core = world.service.core
+    for uid in (5, 6):
+        world.settle(40)
+        core._release_owner(None, uid, Outcome.OK, Reason.UNTOLD)
+    assert [one[2] for one in core._owed] == [6] and world.logged[-1][1] == "release-dropped"
+
+
 def test_a_connection_is_not_closed_for_room_while_its_release_is_on_its_way() -> None:
     world = World()
     world.client.ask(5, Conduct.END)
--- /dev/null
+++ b/tests/test_picture.py
@@ -0,0 +1,63 @@
+"""The module's picture of each node against what is really on the sockets, turn by turn."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from glenshift.brain import BOUND, OUT
+from tests.standins import BINARY, GRPC, JSON, Conduct, World
+from thornshelf.core.dispatcher import State
+
+
+def check_picture(world: World) -> Counter[str]:
+    """In flight, standing and their cores, by machine: the same to module, core and connection."""
+    core, seen = world.service.core, Counter[str]()
+    if core.inbox or core._events:
+        return seen  # the turn's end has left something to the next
+    believed, attempts = Counter[tuple[int, int]](), list[tuple[int, float]]()
+    for request in core.placer.requests.values():
+        for attempt in request.attempts:
+            if attempt.live:
+                believed[attempt.machine.id, attempt.state] += 1
+                attempts.append((attempt.machine.id, request.need[0]))
+    standing = Counter(t.machine for t in core._tasks.values() if t.state in (State.STANDING, State.ENDING))
+    for machine, node in core._nodes.items():
+        on_wire = len(node.out) + len(node.pending)  # type: ignore[attr-defined]
+        assert believed[machine, OUT] == on_wire, "in flight"
+        assert believed[machine, BOUND] == standing[machine], "standing"
+        taken = sum(cores for where, cores in attempts if where == machine)
+        assert abs(core.placer.machines[machine].own[0] - taken) < 1e-6, "cores"
+        seen += Counter(out=on_wire, standing=standing[machine])
+    return seen
+
+
+@pytest.mark.parametrize(("front", "node"), [(JSON, BINARY), (GRPC, GRPC)])
+def test_the_module_s_picture_is_what_the_sockets_carry(front: str, node: str) -> None:
+    world, draw = World(front, node, nodes=3), random.Random(7)
+    seen, uid, drained = Counter[str](), 0, False
+    for step in range(150):
+        if step < 120:
+            uid += 1
+            task_class = draw.choice(("lookup", "lookup", "ledger-batch"))
+            world.client.ask(uid, draw.choice(list(Conduct)), task_class, left=str(draw.choice((60, 4000))))
+        if draw.random() < 0.2 and uid > 5:
+            world.client.give_up(draw.randrange(1, uid))
+        if step % 40 == 20:
+            draw.choice(world.nodes).break_streams()
+        if step == 100:
+            world.tell(2, "terminating")
+            drained = True
+        for _ in range(4):
+            world.loop.after(1000, lambda: None)
+            world.loop.turn()
+            seen += check_picture(world)
+    assert drained and seen["out"] > 20 and seen["standing"] > 20
+    world.tell(2, "terminated")
+    for number in range(1, uid + 1):
+        world.client.give_up(number)
+    world.until(lambda: not world.service.core._tasks)
+    check_picture(world)
+    assert not world.service.core.placer.requests
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -11,6 +11,7 @@
 import zlib
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from glenshift import interface as api
 from glenshift.brain import Placer
@@ -36,6 +37,7 @@
 
 EPOCH_S = 1000.0  # the module's clock at our start: it takes times up to 0 for 'long ago'
 RELEASE_ANY_US = 300_000  # a release waits so long for its own client before any open connection will do
+OWED_US = 60_000_000  # and is kept no longer than this where no client comes
 ENDING_US = 2_000_000  # a node that was told to end a task and says nothing is not waited for longer
 MOST_DEADLINES = 2  # of its class: no set-up is waited for longer
 UNLISTED_US = 2_000_000  # a task said to stand on a node that no list names is given so long
@@ -94,6 +96,7 @@
         self._machines: dict[str, int] = {}  # by the node's name
         self._owners: dict[Owner, set[int]] = {}  # their open set-ups
         self._served: dict[Owner, None] = {}  # those that a task was placed for, the latest last
+        self._known: dict[Owner, None] = {}  # those that asked for one, likewise
         self._tenants = {one.name for one in settings.tenants}
         self._owed: deque[tuple[int, str, int, Outcome, Reason]] = (
             deque()
@@ -130,7 +133,7 @@
                     self._give_up(item.uid)
                 case OwnerCame():
                     self._owners.setdefault(item.owner, set())
-                    self._pay(item.owner)
+                    self._pay()
                 case OwnerGone():
                     self._owner_gone(item)
                 case Probed():
@@ -202,6 +205,7 @@
             cores=item.cores,
             memory=item.memory,
         )
+        self._prove(item.owner, self._known)
         if item.at is not None:
             self._adopt(task, ask, item.at)
             return
@@ -246,6 +250,9 @@
             self.counts["given_up"] += 1
             self._abandon(task)
             return
+        if task.owner is not None and task.owner.alive:
+            # Owners may end a task on any connection; what is kept of it on its own must go, too.
+            task.owner.forget(uid)
         self._end(task)
 
     def _abandon(self, task: TaskRecord) -> None:
@@ -270,6 +277,7 @@
 
     def _owner_gone(self, item: OwnerGone) -> None:
         self._served.pop(item.owner, None)
+        self._known.pop(item.owner, None)
         for uid in sorted(self._owners.pop(item.owner, ())):
             if (task := self._tasks.get(uid)) is not None and task.state is State.OPEN:
                 self.counts["given_up"] += 1
@@ -281,31 +289,47 @@
         """Send a release on the task's own connection, else on another of that client, else keep it."""
         self.counts["released"] += 1
         peer = owner.peer if owner is not None else ""
-        to = owner if owner in self._owners else self._other(peer, False)
-        if to is not None:
-            to.release(uid, outcome, reason)
+        if owner is not None and owner in self._owners:
+            owner.release(uid, outcome, reason)
             return
-        # Standing tasks outlive connections: the release goes to the client's next one, and, as it is owed
-        # within a second, soon to any that a task was placed for. Others may be anybody's: what is told to a
-        # client that opens connections and asks for nothing of use is lost.
+        # Standing tasks outlive connections: the release goes to another of the client's, or, as it is owed
+        # within a second, soon to any that can be trusted with it.
         self._owed.append((self.loop.now, peer, uid, outcome, reason))
-        self.loop.after(RELEASE_ANY_US, lambda: self._pay(self._other("", True)))
+        while self._owed[0][0] < self.loop.now - OWED_US:
+            self.log(
+                4, "release-dropped", {"uid": f"{self._owed.popleft()[2]:016x}"}, "no client came for it"
+            )
+        self._pay()
+        self.loop.after(RELEASE_ANY_US, self._pay)
+
+    def _proven(self, peer: str, anyone: bool) -> Owner | None:
+        """Whom to tell a release: one that a task was placed for lately, else one that has asked for any.
 
-    def _other(self, peer: str, anyone: bool) -> Owner | None:
-        """The connection that a task was placed for last, of a client or of all; else the client's newest."""
-        for table in (self._served,) if anyone else (self._served, self._owners):
+        Guards against strangers: bad clients open connections from the same hosts and ask for nothing of use,
+        and what they are told is lost. One of the same host gets it only where there is nobody else.
+        """
+        tables: tuple[tuple[dict[Owner, Any], bool], ...] = ((self._served, False),)
+        if anyone:
+            tables = (self._served, True), (self._known, True), (self._owners, False)
+        for table, any_peer in tables:
             for owner in reversed(table):
-                if owner.lasting and (anyone or owner.peer == peer):
+                if owner.lasting and (any_peer or owner.peer == peer):
                     return owner
         return None
 
-    def _pay(self, owner: Owner | None) -> None:
+    def _prove(self, owner: Owner, table: dict[Owner, None]) -> None:
+        """An owner's set-up was taken, or placed: the latest is the last of its table."""
+        if owner in self._owners and owner.lasting:
+            table.pop(owner, None)
+            table[owner] = None
+            self._pay()
+
+    def _pay(self) -> None:
         """Send the releases that waited for a connection."""
-        if owner is None:
-            return
         for _ in range(len(self._owed)):
             at, peer, uid, outcome, reason = self._owed.popleft()
-            if peer == owner.peer or (owner in self._served and self.loop.now >= at + RELEASE_ANY_US):
+            owner = self._proven(peer, self.loop.now >= at + RELEASE_ANY_US)
+            if owner is not None:
                 owner.release(uid, outcome, reason)
             else:
                 self._owed.append((at, peer, uid, outcome, reason))
@@ -411,11 +435,7 @@
             return
         self.counts["answered"] += 1
         task.owner.answer(item.uid, item.description)
-        if task.owner in self._owners and task.owner.lasting:
-            self._served.pop(task.owner, None)
-            self._served[task.owner] = None
-            if self._owed:
-                self._pay(task.owner)
+        self._prove(task.owner, self._served)
 
     def _finished(self, item: Finished) -> None:
         task = self._tasks.get(item.uid)
--- a/thornshelf/core/model.py
+++ b/thornshelf/core/model.py
@@ -46,6 +46,9 @@
     def move(self, uid: int) -> None:
         """A task that stood is stopped; its owner should ask again."""
 
+    def forget(self, uid: int) -> None:
+        """A task that stood was ended by its owner, maybe elsewhere: nothing is to be sent."""
+
 
 @dataclass(eq=False, slots=True)
 class Attempt:
--- a/thornshelf/fronts/grpc.py
+++ b/thornshelf/fronts/grpc.py
@@ -132,6 +132,9 @@
         """A task that stood is stopped; its client should ask again."""
         raise NotImplementedError
 
+    def forget(self, uid: int) -> None:
+        """The client ended it, here or on another stream."""
+
     @property
     def alive(self) -> bool:
         """Neither the call nor its connection is over."""
@@ -235,6 +238,11 @@
         """Stopped, to be asked for again."""
         self._last(uid, pb.Verdict(uid=uid, move=pb.Move()))
 
+    def forget(self, uid: int) -> None:
+        """The client ended it, here or on another stream."""
+        self.standing.discard(uid)
+        self._rest()
+
     def gone(self) -> None:
         """What is open is given up; what stands goes on."""
         if not self.over:
--- a/thornshelf/fronts/platform.py
+++ b/thornshelf/fronts/platform.py
@@ -84,6 +84,10 @@
         self.standing.discard(uid)
         self.stream.send(jsonl.encode_line("migrate", uid))
 
+    def forget(self, uid: int) -> None:
+        """The client ended it, here or on another connection."""
+        self.standing.discard(uid)
+
 
 class PlatformFront:
     """Listens for owners."""
