Don't tell the releases of a gRPC stream twice that ends with them

Seen when trying the examples: 5 tasks taken, 6 releases counted. Cause: with the last release DispatchCall._rest ends the call in the same turn, and gone() took the others, still in the buffer, for unsent and handed them back to the core, which told them to another connection. Ruled out: the JSON front (no call to end) and the node's second copy.

Now an orderly end on an open connection leaves nothing unsent. The test fails without it (3 counted for 2).

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -11,7 +11,7 @@
 
 from glenshift.interface import Outcome, Reason
 from tests.standins import BINARY, DESCRIPTION, GRPC, HOST, JSON, LIMIT_S, Conduct, World
-from thornshelf.core import dispatcher
+from thornshelf.core import Finished, dispatcher
 from thornshelf.fronts import grpc as grpc_front
 from thornshelf.fronts import platform
 from thornshelf.wire import grpc, jsonl
@@ -236,6 +236,21 @@
     assert not owner.standing and world.client.heard[5] == [PLACED]
 
 
+def test_a_stream_that_ends_with_its_last_release_has_told_it() -> None:
+    """The release was in the buffer as the call ended, and was owed a second time."""
+    world = World(GRPC)
+    core = world.service.core
+    for uid in (5, 6):
+        world.client.ask(uid, Conduct.RUN)
+        world.heard(uid)
+    world.client.h2.finish(world.client.call, [])
+    world.settle(10)
+    core.inbox.extend(Finished(core._tasks[uid].machine, uid, Outcome.OK) for uid in (5, 6))
+    world.until(lambda: world.client.call in world.client.status)
+    assert [len(world.client.heard[uid]) for uid in (5, 6)] == [2, 2]
+    assert core.counts["released"] == 2 and not core._owed
+
+
 def test_releases_that_no_client_comes_for_are_not_kept_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(dispatcher, "OWED_US", 20_000)
     world = World(nodes=1)
--- a/thornshelf/fronts/grpc.py
+++ b/thornshelf/fronts/grpc.py
@@ -187,7 +187,7 @@
         self.open: set[int] = set()
         self.standing: set[int] = set()
         self.releases: dict[int, tuple[http2.Outgoing, Outcome, Reason]] = {}
-        self.ended = False
+        self.ended = self.orderly = False
         session.front.core.inbox.append(OwnerCame(self))
         session.http.respond(stream, [(":status", "200"), ("content-type", "application/grpc")])
 
@@ -243,11 +243,19 @@
         self.standing.discard(uid)
         self._rest()
 
+    def finish(self, code: int, text: str = "", pushback_ms: int | None = None) -> None:
+        """The end follows what is queued."""
+        self.orderly = True
+        super().finish(code, text, pushback_ms)
+
     def gone(self) -> None:
         """What is open is given up; what stands goes on."""
         if not self.over:
             super().gone()
-            unsent = [(uid, how, why) for uid, (sent, how, why) in self.releases.items() if not sent.whole]
+            # Guards against a release told twice: what an orderly end left in the buffer still goes out.
+            kept = self.orderly and self.session.stream.open
+            releases = {} if kept else self.releases
+            unsent = [(uid, how, why) for uid, (sent, how, why) in releases.items() if not sent.whole]
             self.session.front.core.inbox.append(OwnerGone(self, unsent))
 
     def _last(self, uid: int, verdict: pb.Verdict) -> http2.Outgoing:
