--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -5,7 +5,6 @@
 import gc
 import os
 import signal
-import socket
 import time
 import traceback
 from collections.abc import Callable, Generator
@@ -258,11 +257,9 @@
         self.loop.stop()
 
     def _watch_signals(self) -> None:
-        ours, theirs = socket.socketpair()
-        ours.setblocking(False)
-        theirs.setblocking(False)
-        signal.set_wakeup_fd(theirs.fileno())
-        self._signal_sockets = ours, theirs
+        ours, theirs = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)  # a socket pair is AF_UNIX: not to be had everywhere
+        signal.set_wakeup_fd(theirs)
+        self._signal_pipe = ours, theirs
         # SIGHUP too: left alone, it would end the process.
         for number in (
             signal.SIGTERM,
@@ -273,11 +270,11 @@
             signal.signal(number, lambda *_: None)
         self.loop.spawn(self._signals(ours))
 
-    def _signals(self, sock: socket.socket) -> Generator[Wait, int, None]:
+    def _signals(self, pipe: int) -> Generator[Wait, int, None]:
         while True:
-            yield Wait(sock.fileno(), IN)
+            yield Wait(pipe, IN)
             try:
-                numbers = sock.recv(64)
+                numbers = os.read(pipe, 64)
             except BlockingIOError:
                 continue
             if signal.SIGTERM in numbers or signal.SIGINT in numbers:
