--- a/glenshift/brain.py
+++ b/glenshift/brain.py
@@ -11,8 +11,10 @@
 import struct
 from collections import deque
 from collections.abc import Sequence
+from functools import lru_cache
 
 from glenshift import interface as api
+from glenshift.fleet import Fleet, Member
 from glenshift.interface import Effect, Fact, Health, Outcome, Reason, Scope
 
 BASE = 4.0  # a: the price of a full machine is so many times that of an empty one (the design's figure)
@@ -48,6 +50,7 @@
 OUT, NEVER, MAYBE, BOUND = range(4)  # an attempt: no outcome yet, never ran, may have run, answered for
 
 
+@lru_cache(maxsize=1 << 14)  # tasks of a service come together
 def mix(a: int, b: int) -> float:
     """A fixed draw from 0 to 1 for two ids, the same at every placer."""
     h = (a * 0xBF58476D1CE4E5B9 ^ b * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
@@ -56,17 +59,17 @@
     return (h ^ h >> 29) / 2.0**64
 
 
-class Machine:
+class Machine(Member):
     """What this placer believes of one machine."""
 
-    def __init__(self, machine: int) -> None:
+    def __init__(self, machine: int, news: list[Machine]) -> None:
+        super().__init__(mix(machine, 0), news)  # a place in an order that all placers share
         self.id = machine
-        self.draw = mix(machine, 0)  # a place in an order that all placers share
         self.kind = self.zone = "?"
         self.cell, self.index, self.foreign = 0, -1, False  # index: of its kind in the settings
         self.health = Health.GONE
         self.started = 0.0
-        self.size = self.admit = (0.0, 0.0)  # cores and memory: real, and up to which asks are accepted
+        self.size = (0.0, 0.0)  # cores and memory, as they are
         self.offers: deque[float] = deque()  # offers sent while it was cold
         self.tasks: dict[int, int] = {}  # own tasks and attempts here, by service
         self.own, self.peers = [0.0, 0.0], [0.0, 0.0]  # what they ask for; what peers told of theirs
@@ -80,8 +83,8 @@
         self.deltas: deque[tuple[float, float, float]] = deque()  # own changes since, and their sum
         self.since = [0.0, 0.0]
         self.left: dict[int, float] = {}  # when the last own task of a service ended
-        self.view: tuple[float, ...] | None = None  # taken, and the limit by use: kept until news comes
-        self.eased: tuple[float, float] | None = None
+        self.eased: tuple[float, float] | None = None  # the limit by use, kept until news comes
+        self.stale()
         self.strikes, self.probing = 0, False  # signs of trouble in a row
         self.broke_at = -math.inf  # all that breaks in one moment is one sign: it was one connection
         self.suspect_until = self.shut_until = self.pressure = self.pressure_at = 0.0
@@ -93,7 +96,8 @@
         """A report of what is taken, as of ``at``."""
         if at < self.report_at:
             return
-        self.report, self.report_at, self.view = taken, at, None
+        self.report, self.report_at = taken, at
+        self.stale()
         while self.deltas and self.deltas[0][0] <= at:
             self.deltas.popleft()
         self.since = [sum(d[k] for d in self.deltas) for k in (1, 2)] if self.deltas else [0.0, 0.0]
@@ -131,7 +135,10 @@
         self.stalled = False
         self.again: list[Request] = []  # to be offered anew in this batch
         self.machines: dict[int, Machine] = {}
-        self.up: list[Machine] = []  # those that the list shows as up, in its order
+        self.fleet = Fleet[Machine](self.taken, self.group)  # those that the list shows as up
+        self.colds: list[Machine] = []  # of them those that may be cold
+        self.away: set[Machine] = set()  # those that offers were kept away from, maybe no longer
+        self.roomy: dict[str, Machine] = {}  # [D5] where room for a large task was found last, by its class
         self.largest: tuple[float, ...] = (0.0, 0.0)  # the most cores, and memory, that one of them admits
         self.troubled: set[int] = set()  # machines to be probed
         self.digests: dict[int, tuple[float, list[tuple[Machine, float, float]]]] = {}  # of peers
@@ -147,6 +154,8 @@
         self.averaged = -math.inf
         self.rate = self.last_ask = self.next_tick = self.next_digest = self.next_sweep = 0.0
         self.list_retry_at = 0.0 if settings.list_on_request else None  # when to subscribe, and again
+        # [D4] the offers within a while that this placer may always send a cold machine
+        self.cold_share = int(settings.rules.cold_offers) // max(1, settings.placers)
         self.quota = {one.name: one.quota_cores / max(1, settings.placers) for one in settings.tenants}
         self.services: dict[int, int] = {}  # own tasks, by service
         self.parts = PARTS  # [D1] the pool begins with the fullest machines, told apart so finely
@@ -191,16 +200,18 @@
             self.unit_costs((0.0, 0.0), self.largest, need)
         )
 
-    def pooled(self, fleet: Sequence[Machine]) -> tuple[list[float], list[float]]:
-        """What is taken of some machines, and what they admit, summed."""
-        views, sizes = [m.view or self.taken(m) for m in fleet], [m.admit for m in fleet]
-        return [sum(v) for v in zip(*views, strict=True)], [sum(c) for c in zip(*sizes, strict=True)]
+    def group(self, m: Machine) -> tuple[bool, int]:
+        """[D1] The machines about as full as this one: the fullest come first, kinds that are needed last."""
+        taken = m.view or self.taken(m)
+        full = round(self.parts * taken[0] / m.admit[0]) if m.admit[0] else 0
+        return m.index in self.needed_kinds, -full
 
     def batch(self, asks: list[Request]) -> None:
         """Asked together: cheapest first, the shorter life on ties, else at random."""
         asks = [request for request in asks if request.open]
-        if len(asks) > 1 and self.up:
-            view = self.pooled(self.up)
+        if len(asks) > 1 and self.fleet.up:
+            self.fleet.mend()
+            view = self.fleet.pooled()
             self.random.shuffle(asks)
             asks.sort(key=lambda one: (sum(self.unit_costs(*view, one.need)), one.ask.life_hint_s or 0.0))
         for request in asks:
@@ -213,54 +224,112 @@
         machine = None
         left = len(request.attempts) < self.s.limits.attempts and request.deadline > self.now
         if left and self.possible(request.need):
-            eligible = [m for m in self.up if self.may_offer(request, m)]
-            pooled = self.pooled(eligible)
-            if eligible and (request.attempts or self.admitted(request.need, pooled)):
-                machine = self.choose(request, eligible, pooled[0])
+            self.fleet.mend()
+            barred = self.barred(request)
+            pooled = self.fleet.pooled(barred)
+            if len(barred) < len(self.fleet.up) and (request.attempts or self.admitted(request.need, pooled)):
+                machine = self.choose(request, barred, pooled[0])
         if machine is None:
             self.decline(request)
         else:
             self.offer(request, machine)
 
-    def choose(self, request: Request, eligible: list[Machine], taken: list[float]) -> Machine | None:
+    def barred(self, request: Request) -> set[Machine]:
+        """Those that are up and may not be offered it; mostly only cold ones have to be looked at."""
+        terms, share = request.terms, self.cold_share
+        if (
+            terms.kind is not None
+            or request.ask.able is not None
+            or terms.spread_over is not Scope.NONE
+            or (request.attempts and terms.effect is not Effect.SAFE)
+        ):
+            return {m for m in self.fleet.up if not self.may_offer(request, m)}
+        return {m for m in self.colds if len(m.offers) >= share and not self.cold_allowed(m)}
+
+    def choose(self, request: Request, barred: set[Machine], taken: list[float]) -> Machine | None:
         """[D1] Least rank within the pool, else within the whole fleet; none where it fits nowhere."""
-        able = [m for m in eligible if self.in_standing(request, m)]
-        kept = self.kept_for_large(request, able)
-        able = [m for m in able if m not in kept] if kept else able
-        pool = self.pool(request, able, taken)
+        self.away = {m for m in self.away if self.now < m.suspect_until or self.now < m.shut_until}
+        out = barred | self.away
+        out.update(self.machines[number] for number in request.avoid if number in self.machines)
+        kept = self.kept_for_large(request, out)
+        out.update(kept)
+        if near := self.nearest(request, self.pool(request, out, taken), 2):
+            return self.draw(near)
+        able = [m for m in self.fleet.up if m not in out]
         last = [m for m, worth in kept.items() if request.terms.worth >= worth]
         # by use, by what is admitted, and [D6] by a machine's own answer: a mere guess refuses nothing
         unsure = [m for m in able if self.s.placers > 1 and self.age(m) > VIEW_LIFE_S]
-        groups = ((pool, 2), (able, 2), (able, 1), (last, 1), (unsure, 0))
-        for group, check in groups[: 2 if self.over_share(request) else 5]:
-            fitting = [(self.rank(request, m), m) for m in group if self.fits(request, m, check)]
-            if fitting:
-                least = min(rank for rank, _ in fitting)
-                near = [m for rank, m in fitting if rank <= least * NEAR]
-                return near[self.random.randrange(len(near))] if len(near) > 1 else near[0]
+        groups = ((able, 2), (able, 1), (last, 1), (unsure, 0))
+        for group, check in groups[: 1 if self.over_share(request) else 4]:
+            if near := self.nearest(request, group, check):
+                return self.draw(near)
         return None
 
+    def draw(self, near: list[Machine]) -> Machine:
+        """Equals are drawn from at random."""
+        return near[self.random.randrange(len(near))] if len(near) > 1 else near[0]
+
+    def nearest(self, request: Request, group: list[Machine], check: int) -> list[Machine]:
+        """Those of least rank of the machines where it fits; none is ranked in full that can't be of them."""
+        need, service, least = request.need, request.ask.service, math.inf
+        for m in group:  # where the program is, it is cheap, and most others need not be looked at
+            if service in m.tasks and self.room(request, m) >= check:
+                least = min(least, self.rank(request, m))
+        found = []
+        for m in group:
+            mean, room = m.costs.get(need) or self.cost(m, need)
+            known = service in m.tasks or service in m.left
+            if room < check or (mean if known else mean * BASE) > least * NEAR:
+                continue
+            if (not m.short or self.room(request, m) >= check) and (
+                rank := self.rank(request, m)
+            ) <= least * NEAR:
+                found.append((rank, m))
+                least = min(least, rank)
+        return [m for rank, m in found if rank <= least * NEAR]
+
+    def cost(self, m: Machine, need: tuple[float, float]) -> tuple[float, int]:
+        """The paper's mean cost, and the room: 2 by use, 1 by the machine's own rule, 0 for none."""
+        taken, limit = m.view or self.taken(m), m.eased or self.limit(m)
+        costs = self.unit_costs(taken, limit, need)
+        room = 0
+        for check, size in ((1, m.admit), (2, limit)):
+            if taken[0] + need[0] <= size[0] and taken[1] + need[1] <= size[1]:
+                room = check
+        m.costs[need] = known = sum(costs) / len(costs) if costs else 1.0, room
+        return known
+
     def over_share(self, request: Request) -> bool:
         """Beyond its tenant's share by own tasks: worth little, so it takes no room that is short."""
         tenant, share = request.ask.tenant or "", self.s.over_share_worth
         quota = self.quota.get(tenant, 0.0)
         return share < 1.0 and 0.0 < quota < self.tenant_cores.get(tenant, 0.0) + request.need[0]
 
-    def kept_for_large(self, request: Request, able: list[Machine]) -> dict[Machine, float]:
+    def kept_for_large(self, request: Request, out: set[Machine]) -> dict[Machine, float]:
         """[D5] The roomiest machine for each kind of large task, and its worth: small ones go there last."""
         kept: dict[Machine, float] = {}
         for terms, need, seen in self.large.values():
             if self.now - seen > LARGE_S or self.is_large(request.need):
                 continue
-            fleet = [m for m in able if terms.kind is None or m.index == terms.kind]
-            room = [min((m.admit[k] - self.taken(m)[k]) / need[k] for k in (0, 1)) for m in fleet]
+            enough = 1.0 + max(request.need[k] / need[k] for k in (0, 1))
+            last = self.roomy.get(terms.name)
+            if last and last.place >= 0 and last not in out and self.rooms(last, need) >= enough:
+                continue  # there is still room for both
+            fleet = [m for m in self.fleet.up if terms.kind is None or m.index == terms.kind]
+            fleet = [m for m in fleet if m not in out]
+            room = [self.rooms(m, need) for m in fleet]
             if len(room) > 1:
                 most = max(room)
-                m = fleet[room.index(most)]
-                if most < 1.0 + max(request.need[k] / need[k] for k in (0, 1)):
+                m = self.roomy[terms.name] = fleet[room.index(most)]
+                if most < enough:
                     kept[m] = max(terms.worth, kept.get(m, 0.0))
         return kept
 
+    def rooms(self, m: Machine, need: tuple[float, float]) -> float:
+        """How many tasks of this size it still admits."""
+        taken = m.view or self.taken(m)
+        return min((m.admit[0] - taken[0]) / need[0], (m.admit[1] - taken[1]) / need[1])
+
     def is_large(self, need: tuple[float, float]) -> bool:
         """So much of a machine that free room scattered over the fleet may not hold it."""
         return any(size > 0.0 and ask > LARGE * size for size, ask in zip(self.largest, need, strict=True))
@@ -269,31 +338,29 @@
         """Some machine could hold it, were it empty; room kept for anything larger would be kept in vain."""
         return all(ask <= size for size, ask in zip(self.largest, need, strict=True))
 
-    def pool(self, request: Request, able: list[Machine], taken: list[float]) -> list[Machine]:
+    def pool(self, request: Request, out: set[Machine], taken: list[float]) -> list[Machine]:
         """[D1] The shortest prefix of one order that holds what is taken; the rest, priced, may run empty."""
         blind = not self.s.tells_use and max(self.s.admit_cores, self.s.admit_memory) > 1.0
         if self.s.prices.fleet <= 0.0 or blind:  # overcommitted unseen: crowding would not be noticed
-            return able
-        spare = () if request.terms.kind is not None else self.needed_kinds
-        parts = {m: round(self.parts * self.taken(m)[0] / m.admit[0]) if m.admit[0] else 0 for m in able}
-        order = sorted(able, key=lambda m: (m.index in spare, -parts[m], m.draw))
-        wanted = [taken[k] + request.need[k] for k in (0, 1)]
-        for count, m in enumerate(order, 1):
-            limit = m.eased or self.limit(m)
-            wanted = [wanted[0] - HEADROOM * limit[0], wanted[1] - HEADROOM * limit[1]]
-            if wanted[0] <= 0.0 >= wanted[1]:
-                return order[:count]
-        return order
+            return [m for m in self.fleet.up if m not in out]
+        cores, memory = ((taken[k] + request.need[k]) / HEADROOM for k in (0, 1))
+        found: list[Machine] = []
+        for m in self.fleet.ordered():
+            if m not in out:
+                found.append(m)
+                limit = m.eased or self.limit(m)
+                cores, memory = cores - limit[0], memory - limit[1]
+                if cores <= 0.0 >= memory:
+                    break
+        return found
 
     def rank(self, request: Request, m: Machine) -> float:
         """The paper's mean cost; what else makes a bind dear is a power of the same base."""
-        costs = self.unit_costs(m.view or self.taken(m), m.eased or self.limit(m), request.need)
         extra = self.program(request, m) + 2.0 * self.s.prices.cross_zone * m.foreign
         extra += 0.1 * len(m.waits) + m.strikes + (COLD_EXTRA if self.cold(m) else 0.0)
         extra += m.pressure if self.now - m.pressure_at < SHORT_S else 0.0
         extra += self.lateness(m) if m.late or m.waits else 0.0
-        mean = sum(costs) / len(costs) if costs else 1.0
-        return mean * math.pow(BASE, extra)
+        return (m.costs.get(request.need) or self.cost(m, request.need))[0] * math.pow(BASE, extra)
 
     def lateness(self, m: Machine) -> float:
         """[D4] Late or overdue starts make a machine dear: it may accept but run slowly."""
@@ -334,15 +401,14 @@
         """
         known = (1 + len(self.digests)) / max(1, self.s.placers, 1 + len(self.digests))
         told, fleet, scaled, heard = [0.0, 0.0], [0.0, 0.0], [0.0, 0.0], [0.0, 0.0]
-        for m in self.up:
-            m.view = None  # it ages
+        for m in self.fleet.up:
             for k in (0, 1):
                 fleet[k] += m.admit[k]
                 scaled[k] += m.own[k] + m.peers[k]
                 if m.report is not None:
                     told[k] += m.report[k]
                     heard[k] += m.admit[k]
-        count = max(1, len(self.up))
+        count = max(1, len(self.fleet.up))
         for k in (0, 1):
             if fleet[k] > 0.0:
                 self.mean[k] = (told[k] + scaled[k] / known / count) / (heard[k] + fleet[k] / count)
@@ -350,6 +416,8 @@
         strange = len(self.services) / max(1, sum(self.services.values()))  # 1 where none is met twice
         self.parts = PARTS * (1.0 - strange)
         self.steep = 1.0 + strange * max(0.0, count / HOMES - 1.0)
+        self.fleet.survey()  # views age
+        self.colds = [m for m in self.fleet.up if self.cold(m)]
 
     def limit(self, m: Machine) -> tuple[float, float]:
         """[D2] How much may be asked there before what is *used* crowds cores or fills memory."""
@@ -363,14 +431,12 @@
             m.eased = limits[0], limits[1]
         return m.eased
 
-    def fits(self, request: Request, m: Machine, check: int) -> bool:
-        """No such refusal there of late, and by check 1 room by the machine's own rule, by 2 by use too."""
-        need = request.need
-        until, short = m.short.get(request.terms.name, (0.0, need))
-        if self.now < until and need[0] >= short[0] and need[1] >= short[1]:
-            return False
-        taken, limit = m.view or self.taken(m), (m.eased or self.limit(m)) if check == 2 else m.admit
-        return check == 0 or (taken[0] + need[0] <= limit[0] and taken[1] + need[1] <= limit[1])
+    def room(self, request: Request, m: Machine) -> int:
+        """2 by use, 1 by the machine's own rule, 0 for none; less where as much was refused of late."""
+        until, short = m.short.get(request.terms.name, (0.0, request.need))
+        if self.now < until and request.need[0] >= short[0] and request.need[1] >= short[1]:
+            return -1
+        return (m.costs.get(request.need) or self.cost(m, request.need))[1]
 
     def may_offer(self, request: Request, m: Machine) -> bool:
         """Every rule that an offer has to pass, and the filters of the design."""
@@ -509,7 +575,7 @@
         cores, memory = sign * request.need[0], sign * request.need[1]
         m.own, m.since = [m.own[0] + cores, m.own[1] + memory], [m.since[0] + cores, m.since[1] + memory]
         m.deltas.append((self.now, cores, memory))
-        m.view = None
+        m.stale()
         for tasks in (m.tasks, self.services):
             tasks[service] = tasks.get(service, 0) + sign
             if tasks[service] <= 0:
@@ -520,7 +586,7 @@
             if use is not None:  # told of a task that now ends
                 m.used[k] -= use
                 m.asked[k] -= request.need[k]
-                m.eased = None
+                m.eased = None  # and with it what was worked out: it is stale
 
     def runs(self, request: Request, attempt: Attempt, started: bool) -> None:
         """It no longer waits for its start."""
@@ -587,6 +653,7 @@
 
     def refused(self, request: Request, m: Machine, reason: Reason) -> None:
         """What a refusal teaches of its machine."""
+        self.away.add(m)
         if reason is Reason.QUEUE_FULL:
             m.shut_until = self.now + QUEUE_S
         elif reason is not Reason.NOT_HERE:
@@ -594,10 +661,6 @@
         elif not any(a.state == MAYBE for a in request.attempts):
             m.shut_until = self.now + SUSPECT_S  # it drains, or is not what the list says
 
-    def in_standing(self, request: Request, m: Machine) -> bool:
-        """Neither suspect, nor jammed, nor one that has turned this task down."""
-        return m.id not in request.avoid and self.now >= m.suspect_until and self.now >= m.shut_until
-
     def suspect(self, m: Machine, why: str) -> None:
         """[D4] Gray failure: one sign makes a machine dear, as all may be slow; in a row they shut it out."""
         erred = why == Outcome.ERROR.value  # it may answer a probe as well as ever
@@ -609,6 +672,7 @@
         if self.stalled or m.strikes < STRIKES or self.now < (m.shut_until if erred else m.suspect_until):
             return
         wait = min(SUSPECT_S * 2.0 ** (m.strikes - STRIKES), SUSPECT_MAX_S)
+        self.away.add(m)
         if erred:
             m.shut_until = self.now + wait
         else:
@@ -643,6 +707,7 @@
                     m.used[k] += event.level - (old or 0.0)
                     m.asked[k] += request.need[k] if old is None else 0.0
                     m.eased = None
+                    m.costs.clear()
                     attempt.use[k] = event.level
                     self.use[k] += 0.2 * LEARN * (event.level / request.need[k] - self.use[k])
             case _:
@@ -662,7 +727,9 @@
         ask = event.ask
         m = self.machines.get(event.machine)
         if m is None:
-            m = self.machines[event.machine] = Machine(event.machine)  # not in the list: gone
+            m = self.machines[event.machine] = Machine(
+                event.machine, self.fleet.news
+            )  # not in the list: gone
         request = self.known(ask)
         request.open = False
         attempt = Attempt(m, self.now, BOUND)
@@ -676,9 +743,10 @@
             named.add(entry.machine)
             m = self.machines.get(entry.machine)
             if m is None:
-                m = self.machines[entry.machine] = Machine(entry.machine)
+                m = self.machines[entry.machine] = Machine(entry.machine, self.fleet.news)
             elif entry.started_at > m.started and entry.health is Health.UP:
                 m.forget()  # its process started anew: cold and empty
+                changed = True
             m.started, m.cell, s = max(m.started, entry.started_at), entry.cell, self.s
             if (entry.health, entry.kind, entry.zone) != (m.health, m.kind, m.zone):
                 m.health, m.kind, m.zone, changed = entry.health, entry.kind, entry.zone, True
@@ -691,8 +759,8 @@
         for number in self.machines.keys() - named if event.complete else ():
             self.machines[number].health = Health.GONE
         if changed:
-            self.up = [m for m in self.machines.values() if m.health is Health.UP]
-            self.largest = tuple(max((m.admit[k] for m in self.up), default=0.0) for k in (0, 1))
+            self.fleet.replace(m for m in self.machines.values() if m.health is Health.UP)
+            self.largest = tuple(max((m.admit[k] for m in self.fleet.up), default=0.0) for k in (0, 1))
             self.averaged = -math.inf
 
     def on_listfailed(self, event: api.ListFailed) -> None:
@@ -717,7 +785,7 @@
             del self.machines[m.id]  # else the days of replaced machines add up
         if self.now >= self.next_sweep:
             self.next_sweep = self.now + PROGRAM_S
-            for m in self.up:
+            for m in self.fleet.up:
                 m.left = {service: at for service, at in m.left.items() if self.now - at < PROGRAM_S}
         while self.digests and self.now - next(iter(self.digests.values()))[0] >= PEER_LOST_S:
             self.digest_of(next(iter(self.digests)), [])
@@ -752,4 +820,5 @@
         """Keep the sums of what peers told: this takes the place of the peer's last word."""
         for sign, told in ((-1.0, self.digests.pop(sender, (0.0, []))[1]), (1.0, rows)):
             for m, cores, memory in told:
-                m.peers, m.view = [m.peers[0] + sign * cores, m.peers[1] + sign * memory], None
+                m.peers = [m.peers[0] + sign * cores, m.peers[1] + sign * memory]
+                m.stale()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -267,7 +267,7 @@
     request = one.known(ask(1, service=7, cores=16.0, memory=16.0))
     small = one.known(ask(2, service=7))
     one.average()
-    spread = [max(one.program(r, m) for m in one.up) for r in (request, small)]
+    spread = [max(one.program(r, m) for m in one.fleet.up) for r in (request, small)]
     assert spread[0] <= 2.0 < spread[1]
 
 
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -257,7 +257,9 @@
         self.loop.stop()
 
     def _watch_signals(self) -> None:
-        ours, theirs = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)  # a socket pair is AF_UNIX: not to be had everywhere
+        ours, theirs = os.pipe2(
+            os.O_NONBLOCK | os.O_CLOEXEC
+        )  # a socket pair is AF_UNIX: not to be had everywhere
         signal.set_wakeup_fd(theirs)
         self._signal_pipe = ours, theirs
         # SIGHUP too: left alone, it would end the process.
