Bound a turn: the list first, then what has happened, then set-ups by slices of 15 ms

Ruled out: a slow change log (its own log lines are 18 in all, none near the loss), lost connections.

Lines at fault: Dispatcher.turn (the whole inbox into one Placer.handle), Loop.turn (all ready coroutines), the change log's coroutine stepped in the order in which its descriptor came up, Dispatcher._lost_before and standing_at (all tasks for each node that starts or goes), Roster.machine and forget (all nodes for each name), PlatformFront (a line that waited for a later turn counted its time from that turn).

Change: coroutines are stepped for 10 ms a turn, urgent ones (the change log) first; the list is taken before all else; of the inbox 256 items a turn, and of ended attempts, which the module places anew, 16; set-ups wait in a queue, the earliest deadline first, and go to the module 8 at a time until the turn has lasted 15 ms. What can't be placed in its time is refused with wait. Tasks are found by node. A line's time counts from when it may have come.

Tests: tests/test_turns.py, by counted work on a clock of its own, 1,024 nodes and dispatchers; each was seen to fail with its bound taken out.

--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -40,8 +40,8 @@
         "import os, sys; from thornshelf.config import read_config; from thornshelf.service import Service\n"
         "Service(read_config(os.environ)).close()\n"
         "heavy = ('click', 'msgspec', 'google', 'h2', 'thornshelf.translate.desk', 'thornshelf.translate.table',"
-        " 'thornshelf.core.names', 'thornshelf.admission', 'thornshelf.handover', 'thornshelf.retries',"
-        " 'thornshelf.schema', 'thornshelf.lab')\n"
+        " 'thornshelf.core.names', 'thornshelf.admission', 'thornshelf.handover', 'thornshelf.retries.budget',"
+        " 'thornshelf.retries.spread', 'thornshelf.schema', 'thornshelf.lab')\n"
         "print([one for one in heavy if one in sys.modules])"
     )
     environment = os.environ | ENVIRONMENT
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,223 @@
+"""Turns are bounded, however much comes at once: the list first, then what has happened, then set-ups by slice."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from typing import Any
+
+from glenshift import interface as api
+from glenshift.interface import Health, Outcome
+from tests.conftest import SAFE, settings
+from thornshelf.core import Dispatcher, Finished, ListChange, NodeEntry, SetUp, Started
+from thornshelf.loop import Loop, Wait
+
+NODES = 1024
+TERMS = settings(SAFE, placers=1024, fleet=0.2, retry_after=True, max_retry_after_s=3.0)
+
+
+class Clock:
+    """Time that goes on only where work is done."""
+
+    def __init__(self) -> None:
+        self.ns = 5_000_000_000
+
+    def __call__(self) -> int:
+        return self.ns
+
+
+def a_loop() -> tuple[Loop, Clock]:
+    loop, clock = Loop(), Clock()
+    loop.clock = clock
+    loop.turn(True)
+    return loop, clock
+
+
+class Owner:
+    """Hears answers."""
+
+    alive, lasting, form, peer = True, True, None, "127.0.0.1"
+
+    def __init__(self) -> None:
+        self.heard: list[tuple[str, int, Any]] = []
+
+    def refuse(self, uid: int, wait_us: int | None, why: Any = None) -> None:
+        self.heard.append(("refused", uid, wait_us))
+
+    def fail(self, uid: int, why: Any = None) -> None:
+        self.heard.append(("failed", uid, None))
+
+    def release(self, uid: int, outcome: Outcome, reason: Any, why: Any = None) -> None:
+        self.heard.append(("released", uid, None))
+
+    def answer(self, uid: int, description: bytes, aside: Any = None) -> None:
+        self.heard.append(("running", uid, None))
+
+
+class FakeNode:
+    """Starts what it is offered at once, or says nothing; objects to offers while it drains."""
+
+    def __init__(self, machine: int, rig: Rig) -> None:
+        self.machine, self.rig, self.draining = machine, rig, False
+
+    def offer(self, attempt: Any) -> None:
+        assert not self.draining
+        self.rig.offered.append(self.machine)
+        if not self.rig.silent:
+            self.rig.core.inbox.append(Started(self.machine, attempt.uid, b"x"))
+
+    def drain(self) -> list[Any]:
+        self.draining = True
+        return []
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *_: False
+
+
+def entries(health: Health = Health.UP, nodes: range = range(NODES)) -> list[NodeEntry]:
+    return [NodeEntry(f"s-{n + 1:08x}", "127.0.0.1:9", health, "large", "here", 1, 1.0, None) for n in nodes]
+
+
+class Rig:
+    """A core with nodes that only count, on a clock that moves by ``cost_us`` for each set-up decided."""
+
+    def __init__(self, cost_us: int = 0, silent: bool = False) -> None:
+        self.loop, self.clock = a_loop()
+        self.offered: list[int] = []
+        self.silent = silent
+
+        def make_node(machine: int, entry: NodeEntry, core: Dispatcher) -> Any:
+            return FakeNode(machine, self)
+
+        self.core = Dispatcher(self.loop, TERMS, 1, make_node, lambda *_: None)
+        self.handled: list[int] = []
+        usual = self.core.placer.handle
+
+        def handle(now: float, events: Any) -> Any:
+            asks = sum(isinstance(one, api.Ask) for one in events)
+            self.handled.append(asks)
+            self.clock.ns += asks * cost_us * 1000
+            return usual(now, events)
+
+        self.core.placer.handle = handle  # type: ignore[method-assign]
+        self.core.list_changed(ListChange(True, 1, entries()))
+        self.owner = Owner()
+        self.loop.turn(True)
+
+    def ask(self, first: int, count: int, left_us: int = 6_000_000) -> None:
+        for uid in range(first, first + count):
+            due = self.loop.now + left_us
+            self.core.inbox.append(SetUp(self.owner, uid, "safe", None, uid, due, None, uid, 1.0, 1.0, b"x"))  # type: ignore[arg-type]
+
+
+def test_a_turn_gives_the_module_no_more_set_ups_than_it_has_time_for() -> None:
+    """Guards against turns of seconds after a mass resubmission: every answer of that time came too late."""
+    rig = Rig(cost_us=1000)
+    rig.ask(1, 3000)
+    longest = 0
+    for _ in range(3000):
+        before = len(rig.handled)
+        if not rig.loop.turn(True):
+            break
+        longest = max(longest, sum(rig.handled[before:]))
+    assert 0 < longest <= 25  # of 1 ms each
+    assert sorted(uid for _, uid, _ in rig.owner.heard) == list(range(1, 3001))
+    assert "failed" not in {word for word, _, _ in rig.owner.heard}
+
+
+def test_a_drain_is_heeded_in_the_next_turn_however_much_waits() -> None:
+    rig = Rig(cost_us=1000)
+    rig.ask(1, 4000)
+    rig.loop.turn(True)
+    rig.core.list_changed(ListChange(False, 2, entries(Health.DRAINING, range(NODES // 2))))
+    so_far = len(rig.offered)
+    while rig.loop.turn(True):  # the nodes themselves object to an offer while they drain
+        pass
+    assert len(rig.offered) > so_far and min(rig.offered[so_far:]) > NODES // 2
+
+
+def test_what_cannot_be_placed_in_its_time_is_refused_while_there_is_time() -> None:
+    rig = Rig(cost_us=20_000)
+    rig.ask(1, 2000)
+    while rig.loop.turn(True):
+        pass
+    refused = [wait for word, _, wait in rig.owner.heard if word == "refused"]
+    assert len(refused) > 1000 and set(refused) == {1_000_000}
+    assert sorted(uid for _, uid, _ in rig.owner.heard) == list(range(1, 2001))
+
+
+def test_the_earliest_deadline_goes_first() -> None:
+    rig = Rig(cost_us=1000)
+    rig.ask(1, 200, left_us=6_000_000)
+    rig.ask(1000, 5, left_us=1_000_000)
+    asked: list[int] = []
+    usual = rig.core.placer.handle
+
+    def handle(now: float, events: Any) -> Any:
+        asked.extend(one.task for one in events if isinstance(one, api.Ask))
+        return usual(now, events)
+
+    rig.core.placer.handle = handle  # type: ignore[method-assign]
+    while rig.loop.turn(True):
+        pass
+    assert set(asked[:5]) == set(range(1000, 1005))
+
+
+def test_attempts_that_end_together_are_offered_anew_by_slices() -> None:
+    """Guards against one turn that places anew all that was out at a zone which is lost."""
+    rig = Rig(silent=True)
+    rig.ask(1, 600)
+    while rig.loop.turn(True):
+        pass
+    out = [task for task in rig.core._numbers.values() if task.attempt is not None]
+    assert len(out) > 300
+    for task in out:
+        assert task.attempt is not None
+        rig.core.inbox.append(Finished(task.attempt.machine, task.node_uid, Outcome.BROKEN))
+    while rig.core.inbox:
+        before = len(rig.offered)
+        rig.loop.turn(True)
+        assert len(rig.offered) - before <= 16
+
+
+def test_a_node_that_goes_costs_its_own_tasks_and_no_others() -> None:
+    rig = Rig()
+    rig.ask(1, 600)
+    while rig.loop.turn(True):
+        pass
+    looked = []
+
+    class Watched(dict):  # type: ignore[type-arg]
+        def values(self) -> Any:
+            looked.append(1)
+            return super().values()
+
+    rig.core._numbers = Watched(rig.core._numbers)
+    rig.core.list_changed(ListChange(False, 2, entries(Health.GONE, range(500))))
+    while rig.loop.turn(True):
+        pass
+    gone = sum(machine <= 500 for machine in rig.offered)
+    assert not looked and gone == [word for word, _, _ in rig.owner.heard].count("released") > 0
+    assert len(rig.core._at) == len({machine for machine in rig.offered if machine > 500})
+
+
+def test_coroutines_wait_for_the_next_turn_and_an_urgent_one_goes_first() -> None:
+    """Guards against a change log that is read after a thousand connections were."""
+    loop, clock = a_loop()
+    done: list[str] = []
+
+    def work(name: str) -> Generator[Wait, int, None]:
+        yield Wait(until=loop.now)
+        clock.ns += 2_000_000
+        done.append(name)
+
+    for number in range(200):
+        loop.spawn(work(str(number)))
+    loop.spawn(work("urgent"), urgent=True)
+    while "urgent" not in done:
+        loop.turn(True)
+    assert done.index("urgent") == 0
+    while loop._ready or loop._tasks:
+        before = len(done)
+        loop.turn(True)
+        assert len(done) - before <= 16  # of 2 ms each
+    assert len(done) == 201
--- a/thornshelf/admission/shares.py
+++ b/thornshelf/admission/shares.py
@@ -60,7 +60,7 @@
     """Waiting set-ups; takes the place of ``retries.queue.AskQueue``."""
 
     def __init__(self, terms: ShareTerms) -> None:
-        self.terms = terms
+        self.terms, self.most = terms, terms.most
         self.pressure = Pressure(terms.pressure)
         self._tickets = itertools.count()
         self._items: dict[int, _Waiting[T]] = {}
@@ -104,7 +104,7 @@
             ticket = heapq.heappop(self._deadlines)[1]
             if ticket in self._items:
                 found.append(self._items.pop(ticket).item)
-        while len(self._items) > self.terms.most:
+        while len(self._items) > self.most:
             found.append(self._items.pop(self._last()).item)
         if len(self._deadlines) > 64 + 2 * len(self._items):
             self._deadlines = [one for one in self._deadlines if one[1] in self._items]
--- a/thornshelf/changelog.py
+++ b/thornshelf/changelog.py
@@ -1,4 +1,7 @@
-"""The change log: a long poll over HTTP/1.1 that goes on whatever happens to its connection."""
+"""The change log: a long poll over HTTP/1.1 that goes on whatever happens to its connection.
+
+Its coroutine is urgent: however much else waits, a drain is read in the turn after it came.
+"""
 
 from __future__ import annotations
 
@@ -80,7 +83,7 @@
 
 
 class ChangeLog:
-    """Follows the change log and puts what it tells into the core's inbox."""
+    """Follows the change log and tells the core of it."""
 
     def __init__(
         self,
@@ -94,7 +97,7 @@
         self.loop, self.address, self.since = loop, address, since
         self._monotonic_us, self._tell, self._log = monotonic_us, tell, log
         self._answered = False  # on this connection
-        self._task = loop.spawn(self._run())
+        self._task = loop.spawn(self._run(), urgent=True)
 
     def move(self, address: tuple[str, int]) -> None:
         """Go on at another address, at once, from the number of the last event.
@@ -103,7 +106,7 @@
         """
         self.loop.cancel(self._task)
         self.address = address
-        self._task = self.loop.spawn(self._run())
+        self._task = self.loop.spawn(self._run(), urgent=True)
 
     def stop(self) -> None:
         """Follow no more."""
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -1,7 +1,11 @@
 """The core: one final answer for each task, one attempt in flight, releases for what has stood.
 
-Socket code only puts items into ``inbox``. ``turn`` drains it into one call of the decision module and
-carries out the actions. Nothing else touches the module.
+Socket code only puts items into ``inbox``, and changes of the list into ``list_changed``. ``turn`` takes them to the
+decision module and carries out its actions. Nothing else touches the module.
+
+A turn is bounded: the list first, then what has happened, then, for as long as the turn may last, new set-ups, a few
+at a time, the earliest deadline first. What is left over waits for the next turns, and what can't be placed in its
+time any more is refused as soon as that is known.
 """
 
 from __future__ import annotations
@@ -38,8 +42,9 @@
 )
 from thornshelf.core.releases import Absent, Releases
 from thornshelf.core.roster import Roster
-from thornshelf.core.tasks import State, TaskRecord
+from thornshelf.core.tasks import Expired, State, TaskRecord
 from thornshelf.loop import Loop
+from thornshelf.retries.queue import AskQueue, QueueTerms
 from thornshelf.translate.words import Trouble, Why, why
 
 if TYPE_CHECKING:
@@ -50,6 +55,13 @@
 
 EPOCH_S = 1000.0  # the module's clock at our start: it takes times up to 0 for 'long ago'
 ENDING_US = 2_000_000  # a node that was told to end a task and says nothing is not waited for longer
+ITEMS_A_TURN = 256  # of what has happened
+ENDINGS_A_TURN = 16  # of attempts: the module offers their tasks anew
+ASKS_US = 15_000  # no more set-ups go to the module once a turn has worked for so long
+LEARN = 0.1  # weight of a turn in the mean cost of a set-up
+ASKS = 8  # go to the module together, cheapest first, between two looks at the clock
+LEAST_US = 50_000  # a set-up that still waits with less time left is refused: two turns, so as not to be late
+LEAST_QUEUE, MOST_QUEUE = 256, 16_384  # set-ups that wait, at most: as many as can be placed in their time
 MOST_DEADLINES = 2  # of its class: no set-up is waited for longer
 AGAIN_US = 1_000_000  # a set-up that the queue gives back is told to stay away for at least so long
 UNLISTED_US = 2_000_000  # a task said to stand on a node that no list names is given so long
@@ -74,7 +86,8 @@
     ) -> None:
         self.loop, self.settings, self.log, self.desk = loop, settings, log, desk
         self.placer = Placer(settings, seed)
-        self.inbox: deque[Item] = deque()
+        self.inbox: deque[Item | Expired] = deque()
+        self._changes: deque[ListChange] = deque()
         self.classes = {one.name: one for one in settings.classes}
         self.counts = {"taken": 0, "answered": 0, "refused": 0, "failed": 0, "released": 0, "given_up": 0}
         self.roster = Roster(
@@ -87,7 +100,11 @@
         )
         self.releases = Releases(loop, log)
         self.names: Names | None = None
-        self.queue = queue
+        terms = QueueTerms(a_turn=ASKS, least_us=LEAST_US)
+        self.queue: SetUpQueue[TaskRecord] = AskQueue(terms) if queue is None else queue
+        self._ordered = queue is not None  # by more than the deadline
+        self._ask_us = 0.0  # what a set-up costs of late
+        self._shortest_us = min((one.deadline_s for one in settings.classes), default=1.0) * 1e6
         self.spread = spread if desk is None or desk.spread is None else desk.spread
         self.ledger: Ledger | None = None  # of descriptors, where there is a door
         if desk is not None:
@@ -95,12 +112,13 @@
 
             self.names = Names(self, desk)
             if desk.terms.retries and queue is None:
-                from thornshelf.retries.queue import AskQueue
-
-                self.queue = AskQueue(desk.terms.queue)
+                self.queue, self._ordered = AskQueue(desk.terms.queue), True
         self._start_us = loop.now
         self._tasks: dict[int, TaskRecord] = {}  # by each id under which it is known
         self._numbers: dict[int, TaskRecord] = {}  # by the module's number
+        self._at: dict[
+            int, dict[int, TaskRecord]
+        ] = {}  # by node, those that are or were offered or stand there
         self._last_number = 0
         self._tenants = {one.name for one in settings.tenants}
         self._events: list[api.Event] = []
@@ -118,9 +136,18 @@
 
     # one turn
 
+    def list_changed(self, change: ListChange) -> None:
+        """News of the list, which goes before all that has happened: drains don't wait behind other work."""
+        self._changes.append(change)
+
     def turn(self) -> bool:
-        """Drain the inbox into one call of the module; true where that left more to be done."""
-        while self.inbox:
+        """Take what has come to the module, within bounds; true where that left more to be done."""
+        while self._changes:
+            self._events.append(self.roster.change(self._changes.popleft()))
+        endings = 0
+        for _ in range(ITEMS_A_TURN):
+            if not self.inbox or endings >= ENDINGS_A_TURN:
+                break
             item = self.inbox.popleft()
             match item:
                 case SetUp():
@@ -128,7 +155,10 @@
                 case Started():
                     self._started(item)
                 case Finished():
-                    self._finished(item)
+                    endings += self._finished(item)
+                case Expired():
+                    endings += 1
+                    self._timed_out(item.task, item.attempt)
                 case Noted():
                     self._noted(item)
                 case GiveUp():
@@ -142,20 +172,31 @@
                     self._events.append(api.ProbeAnswer(item.machine, item.outcome, lag, item.report))
                 case NodeLost():
                     self._lost_before(item.machine, None)
-                case ListChange():
-                    self._events.append(self.roster.change(item))
                 case Held():
                     if self.names is not None:
                         self.names.held(item)
                 case Greeted():
                     self._greeted(item)
-        if self.queue:
-            self._from_queue(self.queue)
+        self._refuse_hopeless()
+        self._hand_in()
+        began, asks = self.loop.spent(), 0
+        while self.queue and self.loop.spent() < ASKS_US and (tasks := self.queue.turn(self.loop.now)):
+            asks += len(tasks)
+            for task in tasks:
+                task.ticket = None
+                self._events.append(self._ask(task))
+            self._hand_in()
+            if self._ordered:
+                break  # its own terms say how many a turn
+        if asks:
+            self._ask_us += LEARN * ((self.loop.spent() - began) / asks - self._ask_us)
+        return bool(self.inbox or self._events or self.queue)
+
+    def _hand_in(self) -> None:
         if self._events:
             events, self._events = self._events, []
             for action in self._decide(events):
                 self._act(action)
-        return bool(self.inbox or self._events or self.queue)
 
     def _decide(self, events: list[api.Event]) -> list[api.Action]:
         """The module's word. A fault in it must cost neither the process nor the other tasks.
@@ -220,23 +261,20 @@
         if (cause := self._nowhere(task)) is not None:
             self.refuse(task, None, cause)
             return
-        if self.queue is not None:
-            priority = self.classes[setup.task_class].priority
-            task.ticket = self.queue.put(task, priority, setup.deadline_us, setup.tenant, self.loop.now)
-        else:
-            self._events.append(self._ask(task))
-
-    def _from_queue(self, queue: SetUpQueue[TaskRecord]) -> None:
-        """The next set-ups for the module; what can't start in time any more is answered now."""
-        for task in queue.hopeless(self.loop.now):
+        priority = self.classes[setup.task_class].priority if self._ordered else 0
+        task.ticket = self.queue.put(task, priority, setup.deadline_us, setup.tenant, self.loop.now)
+
+    def _refuse_hopeless(self) -> None:
+        """What can't be placed in its time any more is answered now."""
+        if not self._ordered and self._ask_us:
+            # No more wait than can be placed within the shortest deadline: the last of the order come again.
+            self.queue.most = max(LEAST_QUEUE, min(MOST_QUEUE, int(self._shortest_us / self._ask_us)))
+        for task in self.queue.hopeless(self.loop.now):
             task.ticket = None
             limits = self.settings.limits
             wait = min(AGAIN_US, int(limits.max_retry_after_s * 1e6)) if limits.retry_after else None
             text = "more came than can be placed in its time"
             self.refuse(task, self._wait(task, wait, Trouble.OVERLOADED), why(Trouble.OVERLOADED, text))
-        for task in queue.turn(self.loop.now):
-            task.ticket = None
-            self._events.append(self._ask(task))
 
     def _ask(self, task: TaskRecord) -> api.Ask:
         """The set-up in the module's words."""
@@ -269,6 +307,7 @@
         """A task that stands already: it wants no answer, but its release is owed."""
         machine = self.roster.machine(name)
         task.machine, task.state, task.standing_us, task.count = machine, State.STANDING, self.loop.now, 1
+        self._put_at(task, machine)
         self._events.append(api.Adopted(self._ask(task), machine))
         if self.names is not None and self.names.named(task.setup):
             self.names.adopted(task)
@@ -352,6 +391,7 @@
             known.holders[uid] = owner
             self._tasks[uid] = known
         self._numbers.pop(task.number, None)
+        self._take_off(task)
         task.state = State.ANSWERED  # this record is void: its timer must find nothing to do
 
     def leave(self, task: TaskRecord, uid: int) -> None:
@@ -449,10 +489,26 @@
 
     def standing_at(self, machine: int) -> Iterator[int]:
         """The ids, as the node knows them, of what stands at a node."""
-        for task in self._numbers.values():
+        for task in self._at.get(machine, {}).values():
             if task.machine == machine and task.state is State.STANDING:
                 yield task.node_uid
 
+    def _put_at(self, task: TaskRecord, machine: int) -> None:
+        """Find it by this node from now on, until it is dropped.
+
+        Guards against looking through all tasks for each node that starts, drains or goes: hundreds do at once.
+        """
+        task.places.add(machine)
+        self._at.setdefault(machine, {})[task.number] = task
+
+    def _take_off(self, task: TaskRecord) -> None:
+        for machine in task.places:
+            there = self._at[machine]
+            there.pop(task.number, None)
+            if not there:
+                del self._at[machine]
+        task.places.clear()
+
     def _unlisted(self, machine: int, name: str) -> None:
         if self.desk is not None:
             self.desk.forget(machine, name)
@@ -460,7 +516,7 @@
     def _lost_before(self, machine: int, before_us: int | None) -> None:
         """What stood or was out at a node before a time, or up to now, is over."""
         before = self.loop.now + 1 if before_us is None else before_us
-        for task in list(self._numbers.values()):
+        for task in list(self._at.get(machine, {}).values()):
             if task.attempt is not None and task.attempt.machine == machine:
                 if task.attempt.sent_us < before:
                     self.inbox.append(Finished(machine, task.node_uid, Outcome.BROKEN))
@@ -508,6 +564,7 @@
 
     def _stand(self, task: TaskRecord, machine: int, description: bytes, aside: Aside | None) -> None:
         task.machine, task.standing_us, task.state = machine, self.loop.now, State.STANDING
+        self._put_at(task, machine)
         task.binding = description
         self.tell_binding(task, task.holders, aside)
         if not task.named:
@@ -516,16 +573,17 @@
             # The connection closed in this very turn, which gives the set-up up: nobody would know of it.
             self._end(task)
 
-    def _finished(self, item: Finished) -> None:
+    def _finished(self, item: Finished) -> bool:
+        """An attempt, or a task that stood, is over; true where the module may have to offer it anew."""
         task = self._tasks.get(item.uid)
         if task is None:
-            return
+            return False
         if (attempt := task.attempt) is not None:
             if attempt.machine == item.machine:
                 self._attempt_over(task, attempt, item)
-            return
+            return True
         if task.machine != item.machine or task.state not in (State.STANDING, State.ENDING):
-            return
+            return False
         self._disarm(task)
         if node := self.roster.nodes.get(item.machine):
             node.let_go(item.uid)
@@ -540,6 +598,7 @@
         if owed:
             for uid, owner in task.each():
                 self._release(owner, uid, item.outcome, item.reason, item.why)
+        return False
 
     def _attempt_over(self, task: TaskRecord, attempt: Attempt, item: Finished) -> None:
         if self.names is not None and task.doubtful is not None:
@@ -689,7 +748,8 @@
             self.outcome(task, attempt, Outcome.NOT_SENT)
             return
         task.attempt = attempt
-        task.timer = self.loop.at(until, lambda: self._timed_out(task, attempt))
+        self._put_at(task, machine)
+        task.timer = self.loop.at(until, lambda: self.inbox.append(Expired(task, attempt)))
         node.offer(attempt)
 
     def _affordable(self, task: TaskRecord, number: int, priority: int) -> bool:
@@ -747,7 +807,7 @@
     def _close(self, task: TaskRecord) -> None:
         """It is no longer among its owners' open set-ups, nor in the queue."""
         task.state = State.ANSWERED
-        if task.ticket is not None and self.queue is not None:
+        if task.ticket is not None:
             self.queue.take_back(task.ticket)
             task.ticket = None
         for uid, owner in task.holders.items():
@@ -770,3 +830,4 @@
                 if self._tasks.get(uid) is task:
                     del self._tasks[uid]
             del self._numbers[task.number]
+            self._take_off(task)
--- a/thornshelf/core/model.py
+++ b/thornshelf/core/model.py
@@ -272,6 +272,8 @@
 class SetUpQueue(Protocol[T]):
     """The order in which set-ups go to the decision module; times in microseconds."""
 
+    most: int  # that wait
+
     def put(
         self, item: T, priority: int, deadline_us: int, county: str | None = None, now_us: int = 0
     ) -> int:
@@ -291,16 +293,5 @@
 
 
 Item = (
-    SetUp
-    | GiveUp
-    | OwnerCame
-    | OwnerGone
-    | Started
-    | Finished
-    | Held
-    | Greeted
-    | Noted
-    | Probed
-    | NodeLost
-    | ListChange
+    SetUp | GiveUp | OwnerCame | OwnerGone | Started | Finished | Held | Greeted | Noted | Probed | NodeLost
 )
--- a/thornshelf/core/roster.py
+++ b/thornshelf/core/roster.py
@@ -25,6 +25,7 @@
         self.nodes: dict[int, Node] = {}
         self.entries: dict[int, NodeEntry] = {}
         self._machines: dict[str, int] = {}  # by the node's name
+        self._names: dict[int, str] = {}
         self._make_node, self._seconds, self._standing = make_node, seconds, standing
         self._lost_before, self._called_back, self._forgotten = lost_before, called_back, forgotten
 
@@ -35,9 +36,9 @@
                 machine = int(name.rpartition("-")[2], 16) & 0xFFFFFFFF
             except ValueError:
                 machine = zlib.crc32(name.encode())
-            while machine in self._machines.values():
+            while machine in self._names:
                 machine = (machine + 1) & 0xFFFFFFFF
-            self._machines[name] = machine
+            self._machines[name], self._names[machine] = machine, name
         return machine
 
     def up(self) -> list[int]:
@@ -72,7 +73,7 @@
     def forget(self, machine: int) -> None:
         """Nothing is kept of a node that no list names: on a long day they are replaced without end."""
         self.entries.pop(machine, None)
-        for name in [name for name, number in self._machines.items() if number == machine]:
+        if (name := self._names.pop(machine, None)) is not None:
             del self._machines[name]
             self._forgotten(machine, name)
 
--- a/thornshelf/core/tasks.py
+++ b/thornshelf/core/tasks.py
@@ -4,6 +4,7 @@
 
 import enum
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from glenshift.interface import Outcome, Reason
 from thornshelf.core.model import Attempt, Owner, SetUp
@@ -35,6 +36,14 @@
         self.timer: Timer | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """An attempt that has had no answer within its time."""
+
+    task: TaskRecord
+    attempt: Attempt
+
+
 class TaskRecord:
     """One task of this dispatcher.
 
@@ -54,6 +63,7 @@
         "never",
         "node_uid",
         "number",
+        "places",
         "setup",
         "standing_us",
         "state",
@@ -70,6 +80,7 @@
         self.attempt: Attempt | None = None  # the one in flight
         self.count = 0  # attempts made
         self.machine = 0
+        self.places: set[int] = set()  # nodes under which the core finds it
         self.standing_us = 0
         self.timer: Timer | None = None
         self.named = False  # its name is in the table of those that must not be started twice
--- a/thornshelf/fronts/platform.py
+++ b/thornshelf/fronts/platform.py
@@ -160,13 +160,19 @@
         self.core.inbox.append(OwnerCame(connection))
         reader = jsonl.LineReader()
         until: int | None = self.loop.now + FIRST_US
+        busy_since: int | None = self.loop.arrived  # it may have spoken before it was accepted
         try:
             while data := (yield from stream.read(until)):
                 # Guards against those that say nothing, or begin a message and never end it: they hold one of
                 # few descriptors. Where nothing has begun, a connection that was of use may be idle for good.
                 began = reader.midway
                 reader.feed(data)
-                while (count := self._take_some(connection, reader)) == LINES_A_TURN:
+                # Guards against lines that seem younger than they are: those beyond one turn's wait here, and
+                # what comes meanwhile waits in the system.
+                arrived = self.loop.arrived if busy_since is None else min(busy_since, self.loop.arrived)
+                read_us, busy_since = self.loop.now, None
+                while (count := self._take_some(connection, reader, arrived)) == LINES_A_TURN:
+                    busy_since = read_us
                     yield Wait(
                         until=self.loop.now + (connection.patience.pause_us() if connection.patience else 0)
                     )
@@ -186,14 +192,14 @@
             ]
             self.core.inbox.append(OwnerGone(connection, unsent))
 
-    def _take_some(self, connection: Connection, reader: jsonl.LineReader) -> int:
+    def _take_some(self, connection: Connection, reader: jsonl.LineReader, arrived: int) -> int:
         """The next whole lines, and their number; below 0 where the connection can't go on."""
         for count in range(LINES_A_TURN):
             try:
                 line = reader.next()
                 if line is None:
                     return count
-                self._take(connection, line)
+                self._take(connection, line, arrived)
                 connection.heard = True
             except WireError as fault:
                 # Bad input costs its message, or where the framing is lost its connection, and nothing else.
@@ -208,10 +214,10 @@
                 return LINES_A_TURN
         return LINES_A_TURN
 
-    def _take(self, connection: Connection, line: jsonl.Line) -> None:
+    def _take(self, connection: Connection, line: jsonl.Line, arrived: int) -> None:
         match line.kind:
             case "launch":
-                self._launch(connection, line)
+                self._launch(connection, line, arrived)
             case "stop":
                 connection.open.discard(line.uid)
                 connection.standing.discard(line.uid)
@@ -226,7 +232,7 @@
             case _:
                 pass  # 'stopped' and the like mean nothing; later kinds are skipped
 
-    def _launch(self, connection: Connection, line: jsonl.Line) -> None:
+    def _launch(self, connection: Connection, line: jsonl.Line, arrived: int) -> None:
         fields = jsonl.launch_fields(line)
         if (why := self.core.unusable(fields.task_class, fields.tenant)) is not None:
             raise WireError(why, uid=line.uid)
@@ -241,7 +247,7 @@
             connection.open.add(line.uid)
             # Keep the order of connections by their last set-up: the first is the one to close.
             self._connections[connection] = self._connections.pop(connection, None)
-        # 'left' runs from the client's sending: the line may have come while the last turn was at work.
+        # 'left' runs from the client's sending: the line may have come while earlier turns were at work.
         self.core.inbox.append(
             SetUp(
                 owner=connection,
@@ -249,7 +255,7 @@
                 task_class=fields.task_class,
                 tenant=fields.tenant,
                 key=fields.key,
-                deadline_us=self.loop.arrived + int(min(fields.left_ms, 1e9) * 1000) - MARGIN_US,
+                deadline_us=arrived + int(min(fields.left_ms, 1e9) * 1000) - MARGIN_US,
                 hint_us=None if fields.hint_ms is None else int(min(fields.hint_ms, 1e12) * 1000),
                 service=fields.service,
                 cores=fields.cores,
--- a/thornshelf/lab/standins.py
+++ b/thornshelf/lab/standins.py
@@ -639,7 +639,7 @@
     def tell_entry(self, value: dict[str, Any]) -> None:
         """A change of the list, as the change log words it."""
         entry = read_entry(value, self.service.monotonic_us)
-        self.service.core.inbox.append(ListChange(False, 2, [entry]))
+        self.service.core.list_changed(ListChange(False, 2, [entry]))
 
     def join(self, front: str) -> Any:
         """One more client, connected."""
--- a/thornshelf/loop/loop.py
+++ b/thornshelf/loop/loop.py
@@ -1,4 +1,8 @@
-"""The loop: select.epoll, generators as coroutines, timers; the clock is read once a turn."""
+"""The loop: select.epoll, generators as coroutines, timers; the time is read once a turn.
+
+A turn is bounded: once its coroutines have worked for ``STEPS_US``, those that are still ready wait for the next, and
+descriptors are polled before them. An urgent coroutine is stepped before all others.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,8 @@
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
 _FAULT = select.EPOLLERR | select.EPOLLHUP
 LONGEST_SLEEP_US = 1_000_000
+STEPS_US = 10_000  # coroutines are stepped for so long in one turn; the rest of them in the next
+STEPS = 8  # so many between two looks at the clock
 AT_ONCE_US = 300
 
 
@@ -49,10 +55,10 @@
 class Task:
     """A running coroutine."""
 
-    __slots__ = ("body", "done", "started", "timer", "wait")
+    __slots__ = ("body", "done", "started", "timer", "urgent", "wait")
 
-    def __init__(self, body: Coroutine) -> None:
-        self.body = body
+    def __init__(self, body: Coroutine, urgent: bool = False) -> None:
+        self.body, self.urgent = body, urgent
         self.done = self.started = False
         self.wait: Wait | None = None
         self.timer: Timer | None = None
@@ -78,21 +84,33 @@
         self._timers: list[tuple[int, int, Timer]] = []
         self._order = itertools.count()
         self._tasks: set[Task] = set()
-        self._ready: deque[tuple[Task, int]] = deque()
+        self._ready: deque[tuple[Task, int, int]] = deque()
         self._running = False
         self._ends: list[Callable[[], None]] = []
         self.on_turn: list[Callable[[], bool]] = []  # each says whether it wants another turn at once
         self.on_fault: Callable[[BaseException], None] | None = None
-        self.now = time.monotonic_ns() // 1000
-        self.arrived = self.now  # this turn's input may have come as early as this
+        self.clock: Callable[[], int] = time.monotonic_ns
+        self.now = self.clock() // 1000
+        self.arrived = self.now  # what the present step reads may have come as early as this
+
+    def spent(self) -> int:
+        """How long this turn has worked, in microseconds: to bound it, and for no decision."""
+        return self.clock() // 1000 - self.now
 
-    def spawn(self, body: Coroutine) -> Task:
-        """Start a coroutine in this turn."""
-        task = Task(body)
+    def spawn(self, body: Coroutine, urgent: bool = False) -> Task:
+        """Start a coroutine in this turn; one that is ``urgent`` goes before all that wait to be stepped."""
+        task = Task(body, urgent)
         self._tasks.add(task)
-        self._ready.append((task, 0))
+        self._step_soon(task, 0)
         return task
 
+    def _step_soon(self, task: Task, value: int) -> None:
+        entry = (task, value, self.arrived)
+        if task.urgent:
+            self._ready.appendleft(entry)
+        else:
+            self._ready.append(entry)
+
     def cancel(self, task: Task) -> None:
         """End a coroutine where it waits; its ``finally`` blocks run."""
         if not task.done:
@@ -146,9 +164,9 @@
     def turn(self, at_once: bool = False) -> bool:
         """One turn: wait, read the clock, wake what is due, then the hooks; true where more is to be done."""
         sleep = 0.0 if at_once or self._ready or self._ends else self._sleep_s()
-        before, polled = self.now, time.monotonic_ns() // 1000
+        before, polled = self.now, self.clock() // 1000
         events = self._epoll.poll(sleep)
-        self.now = time.monotonic_ns() // 1000
+        self.now = self.clock() // 1000
         # What a poll finds at once came while the last turn worked; one that sleeps wakes as input comes.
         self.arrived = before if self.now - polled < AT_ONCE_US else self.now
         for fd, mask in events:
@@ -158,9 +176,13 @@
             if timer.call is not None:
                 call, timer.call = timer.call, None
                 self._guard(call)
+        steps = 0
         while self._ready:
-            task, value = self._ready.popleft()
+            task, value, self.arrived = self._ready.popleft()
             self._step(task, value)
+            steps += 1
+            if steps % STEPS == 0 and self.spent() >= STEPS_US:
+                break
         again = False
         for hook in self.on_turn:
             again = self._guard(hook) or again
@@ -195,7 +217,7 @@
         for task, bits in ((watch.reader, IN), (watch.writer, OUT)):
             if task is not None and mask & (bits | _FAULT):
                 self._unwait(task)
-                self._ready.append((task, mask))
+                self._step_soon(task, mask)
                 woken = True
         if not woken:  # nobody waits for this any more: don't be told again
             wanted = (IN if watch.reader else 0) | (OUT if watch.writer else 0)
@@ -219,7 +241,7 @@
 
     def _expire(self, task: Task) -> None:
         self._unwait(task)
-        self._ready.append((task, 0))
+        self._step_soon(task, 0)
 
     def _step(self, task: Task, value: int) -> None:
         if task.done:
--- a/thornshelf/retries/queue.py
+++ b/thornshelf/retries/queue.py
@@ -28,7 +28,7 @@
     """Waiting set-ups."""
 
     def __init__(self, terms: QueueTerms) -> None:
-        self.terms = terms
+        self.terms, self.most = terms, terms.most
         self._heap: list[tuple[int, int, int]] = []
         self._items: dict[int, tuple[T, int, int]] = {}  # item, deadline, priority, by ticket
         self._deadlines: list[tuple[int, int]] = []
@@ -58,7 +58,7 @@
             ticket = heapq.heappop(self._deadlines)[1]
             if ticket in self._items:
                 found.append(self._items.pop(ticket)[0])
-        if (beyond := len(self._items) - self.terms.most) > 0:
+        if (beyond := len(self._items) - self.most) > 0:
             # the last of the order: least priority, and of those the most time left, who can best come again
             for _, _, ticket in heapq.nlargest(
                 beyond, [(-p, deadline, ticket) for ticket, (_, deadline, p) in self._items.items()]
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -65,7 +65,8 @@
             since, changes = read_events(config.known, 0, self.monotonic_us)
         except WireError as fault:
             raise ConfigError(f"known: {fault}") from None
-        self.core.inbox.extend(changes)
+        for change in changes:
+            self.core.list_changed(change)
         self._since = since
         self._budget = budget = Budget(client_share(config))
         try:
@@ -156,7 +157,7 @@
                 follower.stop()
         elif follower is None:
             self._follower = ChangeLog(
-                self.loop, address, self._since, self.monotonic_us, self.core.inbox.append, self.log
+                self.loop, address, self._since, self.monotonic_us, self.core.list_changed, self.log
             )
         elif follower.address != address:
             follower.move(address)
