Write a give-up before its task is offered elsewhere: no second copy for a moment

Ruled out: a give-up that waits for room (nothing was unsent), two dispatchers with one task.

Lines at fault: BaseNode.withdraw left the release to the turn's end, where streams are written in the order in which they first had something to send. Where two attempts end in one turn and their tasks change places, the second offer of one goes out with the release of the other, before its own.

Change: a give-up is written at once; where the system takes no more, the connection is closed, which says the same. The test has two tasks change places in one turn and failed without the change: release (6) came after set-up (6).

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -397,3 +397,40 @@
     for _ in range(3):
         world.join(JSON).stream.close()
     world.until(lambda: world.service.front.listener.budget.used == 1)
+
+
+def test_an_attempt_is_given_up_before_its_task_goes_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against two copies at once: two tasks whose time is over in one turn change places."""
+    world = World()
+    core, written = world.service.core, list[tuple[int, int, int]]()
+    world.until(lambda: all(node.streams for node in world.nodes))
+    usual = Stream._write
+
+    def write(stream: Stream) -> bool:
+        reader = binary.MessageReader()
+        reader.feed(b"".join(chunk.data for chunk in stream._out if stream.peer.endswith(ports)))
+        while (message := reader.next()) is not None:
+            written.append((int(stream.peer.rpartition(":")[2]), message.type, message.uid))
+        return usual(stream)
+
+    def handle(now: float, events: Any) -> list[api.Action]:
+        offers: list[api.Action] = []
+        for event in events:
+            if isinstance(event, api.Ask):
+                offers.append(api.Offer(event.request, event.request, 0.05))
+            elif (
+                isinstance(event, api.Ended) and event.outcome is api.Outcome.TIMED_OUT and not event.attempt
+            ):
+                offers.append(api.Offer(event.request, 3 - event.request, 5.0))
+        return offers
+
+    ports = tuple(f":{node.port}" for node in world.nodes)
+    monkeypatch.setattr(core.placer, "handle", handle)
+    monkeypatch.setattr(Stream, "_write", write)
+    world.client.ask(5, Conduct.SILENT)
+    world.client.ask(6, Conduct.SILENT)
+    world.until(lambda: all(len(one.seen) >= 3 for one in world.nodes))
+    here, there = (node.port for node in world.nodes)
+    for uid, first, second in ((5, here, there), (6, there, here)):
+        given_up, again = (first, binary.RELEASE, uid), (second, binary.SET_UP, uid)
+        assert written.index(given_up) < written.index(again)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -215,6 +215,7 @@
     loop.spawn(work("urgent"), urgent=True)
     while "urgent" not in done:
         loop.turn(True)
+    assert len(done) <= 16
     assert done.index("urgent") == 0
     while loop._ready or loop._tasks:
         before = len(done)
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -112,16 +112,17 @@
         self._looks += 1
         self._half_looks += 1
         if self.midway and self._half_looks >= HALF_LOOKS:
-            self._end("a message broke off")
+            self.stop("a message broke off")
         elif self._looks >= DEAF_LOOKS:
-            self._end("it says nothing more")
+            self.stop("it says nothing more")
         else:
             if self._looks >= QUIET_LOOKS and not self._tested:
                 self._tested = True
                 self.test()
             self.watch()
 
-    def _end(self, why: str) -> None:
+    def stop(self, why: str) -> None:
+        """Close it: what is out on it is given up."""
         self._why = why
         self.stream.close()
 
@@ -214,9 +215,16 @@
         if attempt in self.pending:
             self.pending.remove(attempt)
             return True
-        if self.out.pop(attempt.uid, None) is None or self.link is None:
+        if self.out.pop(attempt.uid, None) is None or (link := self.link) is None:
             return False
-        return self.link.withdraw(attempt.uid)
+        if link.withdraw(attempt.uid):
+            return True
+        # Guards against two copies at once: the word must be out before the task is offered elsewhere, and at the
+        # turn's end another node's stream may be written first. A closed connection says the same.
+        link.stream.flush()
+        if link.stream.unsent:
+            link.stop("it takes nothing more")
+        return False
 
     def cut(self, uid: int) -> None:
         """End a task that stands there; kept until there is a connection to say it on."""
