Share descriptors between nodes and clients, and read the list before the first offer

RESERVED = 96 (config.py) kept only 96 for nodes where clients came first, and nothing kept nodes from taking the change log's; with more nodes than descriptors, connects would have failed with EMFILE, which counted against the node (BaseNode._not_connected: NOT_CONNECTED, a strike).

Change: nodes/connections.py keeps which nodes hold a connection: an idle one goes first, then one that only listens and has rested for 1 s; clients have a third in any case, and 24 are kept for the rest. A full table counts as never sent. The first poll asks for an answer at once (timeout=1), and set-ups wait for it, 0.25 s at most.

--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -198,7 +198,7 @@
         world.until(lambda: world.client.call in world.client.status)
     silent = stranger(world, front)
     world.until(lambda: world.service._budget.used == 2)
-    world.service._budget.most = 2
+    world.service._budget.total = world.service._budget.floor = 2
     world.join(front)
     read_all(world, silent)
     assert not world.client.closed
@@ -209,7 +209,7 @@
     """Guards against making room twice by one connection that is closed already: the table ran full."""
     world = World(front)
     budget = world.service._budget
-    budget.most = 10
+    budget.total = budget.floor = 10
     crowd = [stranger(world, front) for _ in range(50)]
     most, listener = 0, world.service.fronts[front == GRPC]
     while budget.used < 10 or any(sock.fileno() < 0 for sock in crowd):
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -22,7 +22,7 @@
 from thornshelf.lab.standins import CONFIG, HOST, LIMIT_S, World
 from thornshelf.loop import Loop, Stream, Wait
 from thornshelf.loop.loop import IN
-from thornshelf.service import client_share
+from thornshelf.service import shared
 from thornshelf.syslog import Syslog
 
 ROOT = Path(__file__).parent.parent
@@ -173,6 +173,8 @@
     feed.sock.close()
     assert [change.entries[0].name for change in told] == ["a", "b", "c", "d"]
     assert since(feed)[:9] == [3, 4, 4, 6, 6, 6, 6, 6, 6]
+    # The first is answered at once: nothing is sent before it is known what changed while the process started.
+    assert [path.partition("timeout=")[2] for path in feed.asked[:3]] == ["1", "50", "50"]
 
 
 def since(feed: Feed) -> list[int]:
@@ -211,7 +213,7 @@
     assert world.loop.now - begun < changelog.POLL_MS * 1000
     assert since(old) == [1, 7] and since(new) == [7, 8]
     assert {"a", "b"} <= world.service.core.roster._machines.keys()
-    assert world.service.front.listener.budget.most == client_share(world.service.config) < 256
+    assert world.service.front.listener.budget.total == shared(world.service.config)[0] < 256
 
 
 def test_the_log_never_blocks_and_says_what_it_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -85,14 +85,15 @@
     world = World()
     world.client.ask(5, Conduct.SILENT)
     world.until(lambda: world.offers(5) == 1)
-    world.service.front.listener.budget.most = 2
+    budget = world.service.front.listener.budget
+    budget.total = budget.floor = 2
     idle = world.join(JSON)
     world.settle(10)
     third = world.join(JSON)
     world.until(lambda: idle.closed)
     third.ask(6, Conduct.RUN)
     world.until(lambda: 6 in third.heard)
-    assert not world.client.closed and world.service.front.listener.budget.used == 2
+    assert not world.client.closed and budget.used == 2
 
 
 def test_a_new_node_at_the_address_of_one_that_is_gone() -> None:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -135,6 +135,31 @@
     assert len(rig.offered) > so_far and min(rig.offered[so_far:]) > NODES // 2
 
 
+def test_nothing_is_sent_on_the_list_of_a_configuration_that_may_be_old() -> None:
+    """Guards against offers to nodes whose drain was told while the process was starting."""
+    rig = Rig()
+    stale = True
+    rig.core.stale = lambda: stale
+    rig.ask(1, 20)
+    rig.loop.turn(True)
+    assert not rig.offered and not rig.owner.heard
+    rig.core.list_changed(ListChange(False, 2, entries(Health.DRAINING, range(NODES // 2))))
+    stale = False
+    rig.loop.turn(True)
+    assert len(rig.offered) == 20 and min(rig.offered) > NODES // 2
+
+
+def test_a_change_log_that_says_nothing_holds_set_ups_up_for_a_moment_only() -> None:
+    rig = Rig()
+    rig.core.stale = lambda: True
+    rig.ask(1, 20)
+    rig.loop.turn(True)
+    assert not rig.offered
+    rig.clock.ns += 250_000_000
+    rig.loop.turn(True)
+    assert len(rig.offered) == 20
+
+
 def test_what_cannot_be_placed_in_its_time_is_refused_while_there_is_time() -> None:
     rig = Rig(cost_us=20_000)
     rig.ask(1, 2000)
--- a/thornshelf/changelog.py
+++ b/thornshelf/changelog.py
@@ -18,6 +18,7 @@
 from thornshelf.loop.stream import connect
 from thornshelf.wire.errors import WireError
 
+FIRST_POLL_MS = 1  # what was told since the configuration was written is to be known before anything is sent
 POLL_MS = 2_000  # shorter than the 5,000 allowed: silence is noticed sooner
 SILENCE_US = 1_000_000  # beyond the poll's own time, and the connection is given up
 CONNECT_US = 500_000
@@ -97,6 +98,7 @@
         self.loop, self.address, self.since = loop, address, since
         self._monotonic_us, self._tell, self._log = monotonic_us, tell, log
         self._answered = False  # on this connection
+        self.current = False  # an answer has come: the list is no longer that of the configuration alone
         self._task = loop.spawn(self._run(), urgent=True)
 
     def move(self, address: tuple[str, int]) -> None:
@@ -137,7 +139,7 @@
         http = h11.Connection(h11.CLIENT)
         host = f"{self.address[0]}:{self.address[1]}"
         while True:
-            target = f"/changes?since={self.since}&timeout={POLL_MS}"
+            target = f"/changes?since={self.since}&timeout={POLL_MS if self.current else FIRST_POLL_MS}"
             request = h11.Request(method="GET", target=target, headers=[("Host", host)])
             stream.send((http.send(request) or b"") + (http.send(h11.EndOfMessage()) or b""))
             until = self.loop.now + POLL_MS * 1000 + SILENCE_US
@@ -172,7 +174,7 @@
                 self.since, changes = read_events(value, self.since, self._monotonic_us)
             except (ValueError, RecursionError, WireError) as fault:
                 return f"unreadable: {fault}"
-            self._answered = True
+            self._answered = self.current = True
             for change in changes:
                 self._tell(change)
             if http.our_state is h11.MUST_CLOSE or http.their_state is not h11.DONE:
--- a/thornshelf/config.py
+++ b/thornshelf/config.py
@@ -20,8 +20,10 @@
     from thornshelf.translate.desk import Terms
 
 DEFAULT_SOCKETS = 1024
-RESERVED = 96  # descriptors kept for nodes, change log, log and the rest, where there are plenty
+RESERVED = 96  # descriptors that a door keeps for nodes, change log, log and the rest, where there are plenty
+OVERHEAD = 24  # descriptors for the change log, log, listeners and the rest, where there is no door
 RESERVED_SHARE = 4  # else one in so many
+CLIENTS_SHARE = 3  # owners hold at most one in so many, by the protocol: these are theirs in any case
 
 
 class ConfigError(Exception):
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -50,6 +50,7 @@
 if TYPE_CHECKING:
     from thornshelf.admission.descriptors import Ledger
     from thornshelf.core.names import Names
+    from thornshelf.nodes.connections import Connections
     from thornshelf.retries.spread import Spread
     from thornshelf.translate.desk import Desk
 
@@ -58,6 +59,7 @@
 ITEMS_A_TURN = 256  # of what has happened
 ENDINGS_A_TURN = 16  # of attempts: the module offers their tasks anew
 ASKS_US = 15_000  # no more set-ups go to the module once a turn has worked for so long
+STALE_US = 250_000  # after the start set-ups wait no longer than this for the change log's first answer
 LEARN = 0.1  # weight of a turn in the mean cost of a set-up
 ASKS = 8  # go to the module together, cheapest first, between two looks at the clock
 LEAST_US = 50_000  # a set-up that still waits with less time left is refused: two turns, so as not to be late
@@ -103,10 +105,14 @@
         terms = QueueTerms(a_turn=ASKS, least_us=LEAST_US)
         self.queue: SetUpQueue[TaskRecord] = AskQueue(terms) if queue is None else queue
         self._ordered = queue is not None  # by more than the deadline
+        self.stale: Callable[[], bool] | None = (
+            None  # where it holds, the list may be old: set-ups wait a little
+        )
         self._ask_us = 0.0  # what a set-up costs of late
         self._shortest_us = min((one.deadline_s for one in settings.classes), default=1.0) * 1e6
         self.spread = spread if desk is None or desk.spread is None else desk.spread
         self.ledger: Ledger | None = None  # of descriptors, where there is a door
+        self.connections: Connections | None = None  # to nodes, where there is none
         if desk is not None:
             from thornshelf.core.names import Names  # a dispatcher without it stays small
 
@@ -179,6 +185,10 @@
                     self._greeted(item)
         self._refuse_hopeless()
         self._hand_in()
+        if self.stale is not None:
+            if self.stale() and self.loop.now - self._start_us < STALE_US:
+                return bool(self.inbox or self._events)
+            self.stale = None
         began, asks = self.loop.spent(), 0
         while self.queue and self.loop.spent() < ASKS_US and (tasks := self.queue.turn(self.loop.now)):
             asks += len(tasks)
--- a/thornshelf/fronts/listener.py
+++ b/thornshelf/fronts/listener.py
@@ -26,12 +26,25 @@
 
 
 class Budget:
-    """How many client connections may be open at once, over all fronts."""
+    """How the connections of clients, over all fronts, and of nodes share the descriptors.
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    ``total`` of them, ``floor`` of these for clients whatever the nodes hold. ``nodes`` tells what they hold.
+    """
+
+    def __init__(self, total: int, floor: int, nodes: Callable[[], int] = lambda: 0) -> None:
+        self.total, self.floor, self._nodes = total, floor, nodes
         self.used = 0
 
+    @property
+    def most(self) -> int:
+        """Client connections that may be open now."""
+        return max(self.floor, self.total - self._nodes())
+
+    @property
+    def most_nodes(self) -> int:
+        """Node connections that may be open now: clients beyond their floor hold only what nodes don't need."""
+        return self.total - max(self.floor, min(self.used, self.total - self._nodes()))
+
 
 class Client(Protocol):
     """A client's connection, as far as it may have to make room."""
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -14,6 +14,9 @@
 from thornshelf.wire.errors import WireError
 
 PROBE_US = 250_000  # a probe is not waited for longer
+NO_ROOM_US = (
+    1_500_000  # pause where descriptors are too few and tasks stand: news is owed within some seconds
+)
 RETRY_US = 250_000  # pause between connects where tasks stand and the node can't be reached
 AGAIN_US = 10_000  # pause after a connection broke, where the one before had lasted
 FINISH_US = 20_000  # a connection that only finishes what is out is looked at so often
@@ -23,6 +26,7 @@
 DEAF_LOOKS = 12  # so many, and it is of no further use
 IDLE_SHARE = 0.8  # an idle connection is closed this far into the time after which the node would close it
 
+SHED = "closed to make room for another"
 ENDED = "connection ended by the node or the network"
 
 REPORT_FIELDS = {
@@ -200,6 +204,8 @@
 
     def _send(self, link: BaseLink, attempt: Attempt) -> None:
         self.out[attempt.uid] = attempt
+        if (connections := self.core.connections) is not None:
+            connections.used(self, self.loop.now)
         if (cause := self.unfit(attempt)) is not None:
             self.finished(attempt.uid, Outcome.NOT_SENT, why=cause)
             return
@@ -344,6 +350,16 @@
         """Nothing waits for anything on this connection."""
         return not (self.out or self.pending or self.standing or self.cuts or self.questions or self._probe)
 
+    @property
+    def spare(self) -> bool:
+        """Only news of what stands is waited for."""
+        return not (self.out or self.pending or self.cuts or self.questions or self._probe)
+
+    def shed(self) -> None:
+        """Close the connection: others need its descriptor more."""
+        if self.link is not None:
+            self.link.stop(SHED)
+
     def idle_after_us(self) -> int:
         """How long an idle connection is kept."""
         return int(max(1.0, self.core.settings.limits.keepalive_s * IDLE_SHARE) * 1e6)
@@ -365,7 +381,9 @@
             until = began + int(timeout * 1e6)
             stream = yield from self._connect(until)
             if isinstance(stream, int):
-                self._not_connected()
+                # A full table of descriptors proves nothing of the node.
+                no_room = stream == errno.EMFILE
+                self._not_connected(Outcome.NOT_SENT if no_room else Outcome.NOT_CONNECTED)
                 if stream == errno.ECONNREFUSED and (broke or (self.standing and not self.draining)):
                     # Guards against waiting for the list: a refused connection proves the process dead, and
                     # a dying process cuts its tasks, whose releases are owed at once. But a draining node
@@ -378,11 +396,13 @@
                     broke = False
                 if self.idle:
                     return
-                yield Wait(until=max(self.loop.now, began) + RETRY_US)
+                yield Wait(until=max(self.loop.now, began) + (NO_ROOM_US if no_room else RETRY_US))
                 continue
             why = yield from self._serve_link(stream)
             broke = why == ENDED
-            if not self.closed and why:
+            if why == SHED:
+                yield Wait(until=self.loop.now + NO_ROOM_US)
+            elif not self.closed and why:
                 self.core.log(5, "node-closed", {"node": self.name, "standing": len(self.standing)}, why)
                 # A node that ends each connection at once is not called in a tight circle, but a connection
                 # that is reset while new must not make offers wait.
@@ -391,7 +411,19 @@
 
     def _connect(self, until: int) -> Generator[Wait, int, Stream | int]:
         """A connection within the ledger of descriptors, where there is one: what it refuses proves nothing."""
-        ledger = self.core.ledger
+        ledger, connections = self.core.ledger, self.core.connections
+        if connections is not None:
+            if not connections.take(self, self.loop.now, not self.idle):
+                return errno.EMFILE
+            made: Stream | int = errno.ECANCELED
+            try:
+                made = yield from connect(self.loop, self.host, self.port, until)
+            finally:
+                if isinstance(made, int):
+                    connections.give(self)
+            if isinstance(made, Stream):
+                made.on_close = lambda: connections.give(self)
+            return made
         if ledger is None:
             return (yield from connect(self.loop, self.host, self.port, until))
         if not ledger.take("nodes"):
@@ -445,9 +477,9 @@
                 self.probed(Outcome.BROKEN, None)
             stream.close()
 
-    def _not_connected(self) -> None:
+    def _not_connected(self, outcome: Outcome = Outcome.NOT_CONNECTED) -> None:
         for attempt in self.pending:
-            self.core.inbox.append(Finished(self.machine, attempt.uid, Outcome.NOT_CONNECTED))
+            self.core.inbox.append(Finished(self.machine, attempt.uid, outcome))
         self.pending.clear()
         if self._probe is not None:
             self.probed(Outcome.NOT_CONNECTED, None)
--- /dev/null
+++ b/thornshelf/nodes/connections.py
@@ -0,0 +1,68 @@
+"""Which nodes hold a connection where descriptors are too few for all of them. No I/O; times in microseconds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+RESTED_US = 1_000_000  # a connection is kept so long after its node was offered a task, or it was made
+
+
+class Holder(Protocol):
+    """A node, as far as its connection may have to make room."""
+
+    @property
+    def idle(self) -> bool:
+        """Nothing is waited for on it."""
+
+    @property
+    def spare(self) -> bool:
+        """Only news of standing tasks is waited for: the node tells it on the next connection as well."""
+
+    def shed(self) -> None:
+        """Close the connection, which calls ``give``."""
+
+
+class Connections:
+    """The open node connections, the one used longest ago first.
+
+    ``most``: how many there may be now, as clients come and go.
+    """
+
+    def __init__(self, most: Callable[[], int]) -> None:
+        self._most = most
+        self._open: dict[Holder, int] = {}  # since when it has rested
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def take(self, node: Holder, now_us: int, wanted: bool = True) -> bool:
+        """Make room for one more; an idle one goes first, then one that only listens and has rested.
+
+        ``wanted``: something waits for it; else none is closed for its sake. False where there is no room.
+        """
+        while len(self._open) >= self._most():
+            if not wanted or (victim := self._victim(now_us)) is None:
+                return False
+            del self._open[victim]
+            victim.shed()
+        self._open[node] = now_us
+        return True
+
+    def used(self, node: Holder, now_us: int) -> None:
+        """A task was offered to it."""
+        if self._open.pop(node, None) is not None:
+            self._open[node] = now_us
+
+    def give(self, node: Holder) -> None:
+        """Its connection is closed, or did not come up."""
+        self._open.pop(node, None)
+
+    def _victim(self, now_us: int) -> Holder | None:
+        spare = None
+        for node, since in self._open.items():
+            if node.idle:
+                return node
+            if spare is None and node.spare and now_us - since >= RESTED_US:
+                spare = node
+        return spare
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -12,12 +12,14 @@
 from typing import TYPE_CHECKING
 
 from thornshelf.changelog import ChangeLog, read_events
-from thornshelf.config import RESERVED, RESERVED_SHARE, Config, ConfigError
+from thornshelf.config import CLIENTS_SHARE, OVERHEAD, RESERVED_SHARE, Config, ConfigError
 from thornshelf.core import Dispatcher, LogCall, Node, NodeEntry
+from thornshelf.core.dispatcher import STALE_US
 from thornshelf.fronts.listener import Budget
 from thornshelf.fronts.platform import PlatformFront
 from thornshelf.loop import Loop, Wait
 from thornshelf.loop.loop import IN
+from thornshelf.nodes.connections import Connections
 from thornshelf.nodes.platform import PlatformNode
 from thornshelf.syslog import Syslog
 from thornshelf.wire.errors import WireError
@@ -35,11 +37,12 @@
 LINGER_US = 50_000  # for last lines to leave
 
 
-def client_share(config: Config) -> int:
-    """How many descriptors clients may hold."""
+def shared(config: Config) -> tuple[int, int]:
+    """The descriptors that clients and nodes share, and how many of them are the clients' in any case."""
     if config.gate is not None:
-        return config.sockets  # the door and its ledger count
-    return config.sockets - min(RESERVED, config.sockets // RESERVED_SHARE)
+        return config.sockets, config.sockets  # the door and its ledger count
+    total = config.sockets - min(OVERHEAD, config.sockets // RESERVED_SHARE)
+    return total, min(total - 1, config.sockets // CLIENTS_SHARE + 1)
 
 
 class Service:
@@ -68,7 +71,10 @@
         for change in changes:
             self.core.list_changed(change)
         self._since = since
-        self._budget = budget = Budget(client_share(config))
+        connections = Connections(lambda: self._budget.most_nodes)
+        self._budget = budget = Budget(*shared(config), lambda: len(connections))
+        if config.gate is None:
+            self.core.connections = connections
         try:
             handed = self.handed.sockets if self.handed is not None else {}
             self.front = PlatformFront(
@@ -88,6 +94,10 @@
                 raise ConfigError(f"grpc.listen: {fault.strerror}: {config.grpc.listen}") from None
         self._follower: ChangeLog | None = None
         self._follow(config.changelog)
+        if self._follower is not None:
+            # Guards against offers to nodes whose drain was told while this process was starting.
+            self.core.stale = lambda: self._follower is not None and not self._follower.current
+            self.loop.after(STALE_US, lambda: None)  # a turn, should none come by itself
         self._ending = self._succeeding = False
 
     def monotonic_us(self, unix_us: int) -> int:
@@ -140,7 +150,7 @@
             self.log(4, "reload", {"kept": "old"}, str(fault))
             return
         self.config = config
-        self._budget.most = client_share(config)
+        self._budget.total, self._budget.floor = shared(config)
         if self.gate is not None and config.gate is not None:
             self.gate.reload(config.gate, config.sockets)
         self._follow(config.changelog)
