Tell releases and take answers before what is placed anew; read before more set-ups go in

Found by reading and by a test: Dispatcher.turn took what had happened in one order, so an attempt whose time was over in the same turn in which its answer was read was given up with nothing out at the node any more, hence with no release, and its task offered elsewhere: a second copy. The same order, and a bound of 16 ended attempts a turn, held releases up behind a crowd of time-outs.

Change: ended attempts and those out of time have a line of their own, taken after all else that happened; a turn's reading may last 20 ms and its set-ups 10 ms of their own, and only one slice of 4 where connections are still to be read.

Tests: the three cases in tests/test_turns.py failed with each change taken out.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -9,6 +9,7 @@
 from glenshift.interface import Health, Outcome
 from tests.conftest import SAFE, settings
 from thornshelf.core import Dispatcher, Finished, ListChange, NodeEntry, SetUp, Started
+from thornshelf.core.tasks import Expired, State
 from thornshelf.loop import Loop, Wait
 
 NODES = 1024
@@ -198,12 +199,69 @@
     for task in out:
         assert task.attempt is not None
         rig.core.inbox.append(Finished(task.attempt.machine, task.node_uid, Outcome.BROKEN))
-    while rig.core.inbox:
+    while rig.core.inbox or rig.core._endings:
         before = len(rig.offered)
         rig.loop.turn(True)
         assert len(rig.offered) - before <= 16
 
 
+def test_an_answer_that_came_in_the_turn_in_which_the_time_was_over_counts() -> None:
+    """Guards against a second copy: nothing is out at the node any more that could be given up there."""
+    rig = Rig(silent=True)
+    rig.ask(1, 1)
+    while rig.loop.turn(True):
+        pass
+    (task,) = rig.core._numbers.values()
+    attempt = task.attempt
+    assert attempt is not None
+    rig.core.inbox.append(Expired(task, attempt))
+    rig.core.inbox.append(Started(attempt.machine, attempt.uid, b"x"))
+    while rig.loop.turn(True):
+        pass
+    assert rig.owner.heard == [("running", 1, None)] and len(rig.offered) == 1
+
+
+def test_a_release_does_not_wait_behind_tasks_that_are_placed_anew() -> None:
+    """Guards against releases later than 1 s where a zone is lost: they were told 16 ended attempts a turn."""
+    rig = Rig()
+    rig.ask(1, 50)
+    while rig.loop.turn(True):
+        pass
+    rig.silent = True
+    rig.ask(100, 100)
+    while rig.loop.turn(True):
+        pass
+    for wanted in (State.OPEN, State.STANDING):
+        for task in rig.core._numbers.values():
+            if task.state is wanted:
+                machine = task.machine if task.attempt is None else task.attempt.machine
+                rig.core.inbox.append(Finished(machine, task.node_uid, Outcome.BROKEN))
+    rig.loop.turn(True)
+    assert [word for word, _, _ in rig.owner.heard].count("released") == 50
+
+
+def test_set_ups_leave_time_for_reading_where_much_is_to_be_read() -> None:
+    """Guards against releases that wait in the system: one slice of set-ups a turn until all has been read."""
+    rig = Rig(cost_us=1000)
+    rig.ask(1, 4000)
+
+    def read() -> Generator[Wait, int, None]:
+        for _ in range(100):
+            yield Wait(until=rig.loop.now)
+            rig.clock.ns += 2_000_000
+
+    for _ in range(100):
+        rig.loop.spawn(read())
+    rig.loop.turn(True)
+    rig.clock.ns += 1000
+    while not rig.loop.behind:
+        rig.loop.turn(True)
+    for _ in range(20):
+        before = len(rig.handled)
+        rig.loop.turn(True)
+        assert rig.loop.behind and sum(rig.handled[before:]) == 4
+
+
 def test_a_node_that_goes_costs_its_own_tasks_and_no_others() -> None:
     rig = Rig()
     rig.ask(1, 600)
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -58,10 +58,10 @@
 ENDING_US = 2_000_000  # a node that was told to end a task and says nothing is not waited for longer
 ITEMS_A_TURN = 256  # of what has happened
 ENDINGS_A_TURN = 16  # of attempts: the module offers their tasks anew
-ASKS_US = 15_000  # no more set-ups go to the module once a turn has worked for so long
+ASKS_US = 10_000  # set-ups go to the module for so long in a turn
 STALE_US = 250_000  # after the start set-ups wait no longer than this for the change log's first answer
 LEARN = 0.1  # weight of a turn in the mean cost of a set-up
-ASKS = 8  # go to the module together, cheapest first, between two looks at the clock
+ASKS = 4  # go to the module together, cheapest first, between two looks at the clock
 LEAST_US = 50_000  # a set-up that still waits with less time left is refused: two turns, so as not to be late
 LEAST_QUEUE, MOST_QUEUE = 256, 16_384  # set-ups that wait, at most: as many as can be placed in their time
 MOST_DEADLINES = 2  # of its class: no set-up is waited for longer
@@ -90,6 +90,7 @@
         self.placer = Placer(settings, seed)
         self.inbox: deque[Item | Expired] = deque()
         self._changes: deque[ListChange] = deque()
+        self._endings: deque[Finished | Expired] = deque()  # of attempts: their tasks are to be placed anew
         self.classes = {one.name: one for one in settings.classes}
         self.counts = {"taken": 0, "answered": 0, "refused": 0, "failed": 0, "released": 0, "given_up": 0}
         self.roster = Roster(
@@ -150,10 +151,7 @@
         """Take what has come to the module, within bounds; true where that left more to be done."""
         while self._changes:
             self._events.append(self.roster.change(self._changes.popleft()))
-        endings = 0
-        for _ in range(ITEMS_A_TURN):
-            if not self.inbox or endings >= ENDINGS_A_TURN:
-                break
+        for _ in range(min(len(self.inbox), ITEMS_A_TURN)):
             item = self.inbox.popleft()
             match item:
                 case SetUp():
@@ -161,10 +159,9 @@
                 case Started():
                     self._started(item)
                 case Finished():
-                    endings += self._finished(item)
+                    self._finished(item)
                 case Expired():
-                    endings += 1
-                    self._timed_out(item.task, item.attempt)
+                    self._endings.append(item)
                 case Noted():
                     self._noted(item)
                 case GiveUp():
@@ -183,24 +180,32 @@
                         self.names.held(item)
                 case Greeted():
                     self._greeted(item)
+        for _ in range(min(len(self._endings), ENDINGS_A_TURN)):
+            ending = self._endings.popleft()
+            if isinstance(ending, Expired):
+                self._timed_out(ending.task, ending.attempt)
+            elif (task := self._tasks.get(ending.uid)) and (attempt := task.attempt):
+                self._attempt_over(task, attempt, ending)
         self._refuse_hopeless()
         self._hand_in()
         if self.stale is not None:
             if self.stale() and self.loop.now - self._start_us < STALE_US:
-                return bool(self.inbox or self._events)
+                return bool(self.inbox or self._endings or self._events)
             self.stale = None
         began, asks = self.loop.spent(), 0
-        while self.queue and self.loop.spent() < ASKS_US and (tasks := self.queue.turn(self.loop.now)):
+        while (
+            self.queue and self.loop.spent() - began < ASKS_US and (tasks := self.queue.turn(self.loop.now))
+        ):
             asks += len(tasks)
             for task in tasks:
                 task.ticket = None
                 self._events.append(self._ask(task))
             self._hand_in()
-            if self._ordered:
-                break  # its own terms say how many a turn
+            if self._ordered or self.loop.behind:
+                break  # its own terms say how many a turn; and releases may wait to be read
         if asks:
             self._ask_us += LEARN * ((self.loop.spent() - began) / asks - self._ask_us)
-        return bool(self.inbox or self._events or self.queue)
+        return bool(self.inbox or self._endings or self._events or self.queue)
 
     def _hand_in(self) -> None:
         if self._events:
@@ -583,17 +588,19 @@
             # The connection closed in this very turn, which gives the set-up up: nobody would know of it.
             self._end(task)
 
-    def _finished(self, item: Finished) -> bool:
-        """An attempt, or a task that stood, is over; true where the module may have to offer it anew."""
+    def _finished(self, item: Finished) -> None:
+        """A task that stood is over, or an attempt, whose turn comes.
+
+        Guards against releases that wait behind a crowd of tasks which are placed anew: they are owed at once.
+        """
         task = self._tasks.get(item.uid)
         if task is None:
-            return False
-        if (attempt := task.attempt) is not None:
-            if attempt.machine == item.machine:
-                self._attempt_over(task, attempt, item)
-            return True
+            return
+        if task.attempt is not None:
+            self._endings.append(item)
+            return
         if task.machine != item.machine or task.state not in (State.STANDING, State.ENDING):
-            return False
+            return
         self._disarm(task)
         if node := self.roster.nodes.get(item.machine):
             node.let_go(item.uid)
@@ -608,9 +615,10 @@
         if owed:
             for uid, owner in task.each():
                 self._release(owner, uid, item.outcome, item.reason, item.why)
-        return False
 
     def _attempt_over(self, task: TaskRecord, attempt: Attempt, item: Finished) -> None:
+        if attempt.machine != item.machine:
+            return
         if self.names is not None and task.doubtful is not None:
             if self.names.may_run(item.outcome):
                 return  # nothing new: it is being asked about
--- a/thornshelf/loop/loop.py
+++ b/thornshelf/loop/loop.py
@@ -18,7 +18,7 @@
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
 _FAULT = select.EPOLLERR | select.EPOLLHUP
 LONGEST_SLEEP_US = 1_000_000
-STEPS_US = 10_000  # coroutines are stepped for so long in one turn; the rest of them in the next
+STEPS_US = 20_000  # coroutines are stepped for so long in one turn; the rest of them in the next
 STEPS = 8  # so many between two looks at the clock
 AT_ONCE_US = 300
 
@@ -97,6 +97,11 @@
         """How long this turn has worked, in microseconds: to bound it, and for no decision."""
         return self.clock() // 1000 - self.now
 
+    @property
+    def behind(self) -> bool:
+        """Coroutines are ready that this turn had no time for."""
+        return bool(self._ready)
+
     def spawn(self, body: Coroutine, urgent: bool = False) -> Task:
         """Start a coroutine in this turn; one that is ``urgent`` goes before all that wait to be stepped."""
         task = Task(body, urgent)
