Keep what left for a restarted server's new process: the cause of the second copies

Lines at fault: Roster._entry calls Dispatcher._lost_before(machine, started), which took every attempt decided before that start for lost with the old process. What was decided before, but waited for a connection and left on one to the new process, is out there: it was offered elsewhere with nothing given up.

Change: the node itself says which attempts are over: a connection older than the start is closed, which gives up what is out on it; one to the new process is kept. Both tests fail without the change.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -400,6 +400,22 @@
     world.until(lambda: world.service.front.listener.budget.used == 1)
 
 
+def test_what_is_out_at_a_process_that_was_replaced_is_given_up_and_goes_elsewhere() -> None:
+    world = World()
+    world.until(lambda: all(node.streams for node in world.nodes))
+    world.client.ask(5, Conduct.SILENT)
+    world.until(lambda: world.offers(5) == 1)
+    index = next(i for i, node in enumerate(world.nodes) if node.offers(5))
+    old = world.nodes[index].streams[0]
+    at_ms = time.time_ns() // 1_000_000 + 1
+    world.tell_entry(world.entry(index, started=at_ms - 3_600_000))  # the one that it is connected to
+    world.settle(10)
+    assert world.offers(5) == 1 and old.open
+    world.tell_entry(world.entry(index, started=at_ms))
+    world.until(lambda: world.offers(5) == 2)
+    world.until(lambda: not old.open)
+
+
 def test_an_attempt_is_given_up_before_its_task_goes_elsewhere(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against two copies at once: two tasks whose time is over in one turn change places."""
     world = World()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator
+from dataclasses import replace
 from typing import Any
 
 from glenshift import interface as api
@@ -283,6 +284,25 @@
     assert len(rig.core._at) == len({machine for machine in rig.offered if machine > 500})
 
 
+def test_an_offer_that_left_for_a_new_process_is_out_there() -> None:
+    """Guards against a second copy: it was decided before that process started, and waited for a connection.
+
+    On the bench (split, 241809376776) such tasks were offered elsewhere with nothing given up.
+    """
+    rig = Rig(silent=True)
+    rig.ask(1, 1)
+    while rig.loop.turn(True):
+        pass
+    (machine,) = rig.offered
+    rig.clock.ns += 300_000_000
+    rig.loop.turn(True)
+    entry = replace(entries()[machine - 1], started_us=rig.loop.now - 200_000)
+    rig.core.list_changed(ListChange(False, 2, [entry]))
+    while rig.loop.turn(True):
+        pass
+    assert len(rig.offered) == 1 and not rig.owner.heard
+
+
 def test_coroutines_wait_for_the_next_turn_and_an_urgent_one_goes_first() -> None:
     """Guards against a change log that is read after a thousand connections were."""
     loop, clock = a_loop()
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -529,11 +529,11 @@
             self.desk.forget(machine, name)
 
     def _lost_before(self, machine: int, before_us: int | None) -> None:
-        """What stood or was out at a node before a time, or up to now, is over."""
+        """What stood at a node before a time is over; without one, all that stands or is out there."""
         before = self.loop.now + 1 if before_us is None else before_us
         for task in list(self._at.get(machine, {}).values()):
             if task.attempt is not None and task.attempt.machine == machine:
-                if task.attempt.sent_us < before:
+                if before_us is None:  # else the node knows to which of its processes it went
                     self.inbox.append(Finished(machine, task.node_uid, Outcome.BROKEN))
             elif task.attempt is None and task.machine == machine and task.standing_us < before:
                 self.inbox.append(Finished(machine, task.node_uid, Outcome.BROKEN))
--- a/thornshelf/core/model.py
+++ b/thornshelf/core/model.py
@@ -122,6 +122,9 @@
     def drain(self) -> list[Attempt]:
         """Nothing new may leave from now on; gives back the attempts of which no byte had left."""
 
+    def restarted(self, started_us: int) -> None:
+        """Its process started at this time: what is out at the one before comes back as broken."""
+
     def resume(self) -> None:
         """It does not drain, or no longer."""
 
--- a/thornshelf/core/roster.py
+++ b/thornshelf/core/roster.py
@@ -89,6 +89,7 @@
             self._gone(machine)
         elif old is not None and entry.started_us is not None and machine in self.nodes:
             # A process that started anew under the same name holds nothing of what stood there before.
+            self.nodes[machine].restarted(entry.started_us)
             self._lost_before(machine, entry.started_us)
         if machine not in self.nodes:
             self.nodes[machine] = self._make_node(machine, entry)
--- a/thornshelf/nodes/base.py
+++ b/thornshelf/nodes/base.py
@@ -53,6 +53,7 @@
 
     def __init__(self, node: BaseNode, stream: Stream) -> None:
         self.node, self.stream = node, stream
+        self.opened_us = node.loop.now
         self.accepting = True  # False: it only finishes what is out, and new offers wait for the next
         self.ready = True  # False: what the node speaks is not known yet, and nothing may leave for it
         self._why = ENDED
@@ -296,6 +297,15 @@
                 kept.append(attempt)
         return kept
 
+    def restarted(self, started_us: int) -> None:
+        """Its process started anew at this time: what went out to the one before is over, and given up.
+
+        Guards against a second copy: what was offered before that time, but left on a connection to the new
+        process, is out there.
+        """
+        if self.link is not None and self.link.opened_us < started_us:
+            self.link.stop("its process started anew")
+
     def resume(self) -> None:
         """It takes offers."""
         self.draining = False
