Keep a connection for every server in the list, whatever the clients hold

Idle clients took what a server's broken connection gave back, and the server then found no room: nobody heard its releases. Ruled out: too many servers (there are 10).

Lines at fault: Budget.most and most_nodes counted what servers hold at the moment, not what they need.

Change: clients get what is left beside the connections of all servers in the list and 16 more; where there are too many clients, as many idle ones are closed as need be.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -7,9 +7,9 @@
 from tests.test_platform import PLACED
 from thornshelf.config import read_config
 from thornshelf.fronts.listener import Budget
-from thornshelf.lab.standins import CONFIG, Conduct, World
+from thornshelf.lab.standins import CONFIG, JSON, Conduct, World
 from thornshelf.nodes.connections import RESTED_US, Connections
-from thornshelf.service import shared
+from thornshelf.service import SPARE_NODES, shared
 
 
 class Holder:
@@ -51,14 +51,29 @@
 
 
 def test_neither_clients_nor_nodes_are_starved() -> None:
-    nodes = 0
+    nodes = 300
     budget = Budget(1000, 342, lambda: nodes)
-    assert (budget.most, budget.most_nodes) == (1000, 658)
+    assert (budget.most, budget.most_nodes) == (700, 658)
+    budget.used = 700  # a crowd
+    assert budget.most_nodes == 300
+    nodes = 400  # more nodes have joined: the crowd has to go
+    assert (budget.most, budget.most_nodes) == (600, 400)
     nodes = 700
-    assert budget.most == 342
-    budget.used = 500  # a crowd came before the nodes were there
-    nodes = 300
-    assert (budget.most, budget.most_nodes) == (700, 500)
+    assert (budget.most, budget.most_nodes) == (342, 658)
+
+
+def test_a_crowd_of_clients_leaves_each_node_its_connection() -> None:
+    """Guards against clients that take what a node has just given back: its releases came too late (soak)."""
+    world = World(nodes=4)
+    budget = world.service._budget
+    world.until(lambda: all(one.streams for one in world.nodes))
+    budget.total, budget.floor = 40, 4
+    crowd = [world.join(JSON) for _ in range(40)]
+    world.settle(20)
+    assert budget.used <= budget.most == 40 - 4 - SPARE_NODES
+    assert budget.most_nodes >= 4
+    for one in crowd:
+        one.stream.close()
 
 
 def test_the_change_log_and_the_rest_have_descriptors_of_their_own() -> None:
--- a/thornshelf/fronts/listener.py
+++ b/thornshelf/fronts/listener.py
@@ -28,7 +28,8 @@
 class Budget:
     """How the connections of clients, over all fronts, and of nodes share the descriptors.
 
-    ``total`` of them, ``floor`` of these for clients whatever the nodes hold. ``nodes`` tells what they hold.
+    ``total`` of them, ``floor`` of these for clients whatever the nodes need. ``nodes`` tells what these need, not
+    what they hold just now: clients that came while a node was away would keep it away.
     """
 
     def __init__(self, total: int, floor: int, nodes: Callable[[], int] = lambda: 0) -> None:
@@ -183,10 +184,14 @@
                 self.budget.used += 1
                 stream.on_close = lambda stream=stream: self._closed(stream)  # type: ignore[misc]
                 self.loop.spawn(self._run(stream))
-                if self.budget.used > self.budget.most and not self._make_room():
-                    # Guards against a full descriptor table: those that wait stay in the backlog.
-                    while self.budget.used > self.budget.most and not self._make_room():
+                waited = False
+                while self.budget.used > self.budget.most:
+                    # More than one may have to go: more nodes need connections now. And it guards against a full
+                    # descriptor table: those that wait stay in the backlog.
+                    if not self._make_room():
+                        waited = True
                         yield Wait(until=self.loop.now + PAUSE_US)
+                if waited:
                     break
 
     def _run(self, stream: Stream) -> Generator[Wait, int, None]:
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -34,6 +34,7 @@
 HAND_OVER_US = (
     12_000_000  # clients with open set-ups are waited for so long; longer than the longest deadline
 )
+SPARE_NODES = 16  # connections to nodes that are about to join
 LINGER_US = 50_000  # for last lines to leave
 
 
@@ -72,7 +73,8 @@
             self.core.list_changed(change)
         self._since = since
         connections = Connections(lambda: self._budget.most_nodes)
-        self._budget = budget = Budget(*shared(config), lambda: len(connections))
+        needed = lambda: max(len(connections), len(self.core.roster.nodes) + SPARE_NODES)  # noqa: E731
+        self._budget = budget = Budget(*shared(config), needed)
         if config.gate is None:
             self.core.connections = connections
         try:
