Call an offer back from a node found dead before its task goes elsewhere

A refused connect puts NodeLost into the inbox. Since turns are bounded, that may wait for the next turn where many connections end at once, and an offer may come to the same node in between, which waits there for the connection that is tried 0.25 s later. Dispatcher._lost_before took it for broken and its task was offered elsewhere, while the node kept it and would have sent it.

Change: _lost_before withdraws it first. The test fails without the change.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -10,6 +10,7 @@
 from glenshift.interface import Health, Outcome
 from tests.conftest import SAFE, settings
 from thornshelf.core import Dispatcher, Finished, ListChange, NodeEntry, SetUp, Started
+from thornshelf.core.model import NodeLost
 from thornshelf.core.tasks import Expired, State
 from thornshelf.loop import Loop, Wait
 
@@ -67,6 +68,10 @@
         if not self.rig.silent:
             self.rig.core.inbox.append(Started(self.machine, attempt.uid, b"x"))
 
+    def withdraw(self, attempt: Any) -> bool:
+        self.rig.withdrawn.append(self.machine)
+        return False
+
     def drain(self) -> list[Any]:
         self.draining = True
         return []
@@ -85,6 +90,7 @@
     def __init__(self, cost_us: int = 0, silent: bool = False) -> None:
         self.loop, self.clock = a_loop()
         self.offered: list[int] = []
+        self.withdrawn: list[int] = []
         self.silent = silent
 
         def make_node(machine: int, entry: NodeEntry, core: Dispatcher) -> Any:
@@ -303,6 +309,19 @@
     assert len(rig.offered) == 1 and not rig.owner.heard
 
 
+def test_an_offer_to_a_node_that_is_found_dead_is_called_back_before_its_task_goes_elsewhere() -> None:
+    """Guards against a second copy: the news may wait for a turn, and an offer come in between and wait there."""
+    rig = Rig(silent=True)
+    rig.ask(1, 1)
+    while rig.loop.turn(True):
+        pass
+    (machine,) = rig.offered
+    rig.core.inbox.append(NodeLost(machine))
+    while rig.loop.turn(True):
+        pass
+    assert rig.withdrawn == [machine] and len(rig.offered) == 2
+
+
 def test_coroutines_wait_for_the_next_turn_and_an_urgent_one_goes_first() -> None:
     """Guards against a change log that is read after a thousand connections were."""
     loop, clock = a_loop()
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -534,6 +534,9 @@
         for task in list(self._at.get(machine, {}).values()):
             if task.attempt is not None and task.attempt.machine == machine:
                 if before_us is None:  # else the node knows to which of its processes it went
+                    if (node := self.roster.nodes.get(machine)) is not None:
+                        # Guards against a second copy: it may have come since then, and wait for a connection.
+                        node.withdraw(task.attempt)
                     self.inbox.append(Finished(machine, task.node_uid, Outcome.BROKEN))
             elif task.attempt is None and task.machine == machine and task.standing_us < before:
                 self.inbox.append(Finished(machine, task.node_uid, Outcome.BROKEN))
