--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
-"""A task is handed over with a server that the dispatcher's change log has not told of yet."""
+"""SIGHUP comes with a file that is short of the key ``changelog``; then a server is lost and another drains."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -11,84 +12,96 @@
 
 import standins  # noqa: E402
 
-SILENCE_S = 6.5  # under the 7 s after which everything counts as told
-MAKE_SURE_S = 3.0  # the settings' make-sure-s: how long an owner waits before it comes again
-RELEASE_S = 1.0 + 0.05
+SETTLE_S = 4.5  # what the change log tells counts as told 4 s after SIGHUP at the latest
+DRAIN_S = 0.25 + 0.05  # the settings' drain grace, and the slack
+RELEASE_S = 8.0 + 0.05
+LOOKUPS = 12
 
 
-async def refuse(connection: standins.Connection, uid: str, _: dict[int, bytes]) -> bool:
-    """Refuse a set-up: the server is full."""
-    connection.server.refuse(connection, uid, "lack_cpu")
-    return False
+class Drain:
+    """A server that drains from some time on: it refuses what comes, and notes what comes too late."""
 
+    def __init__(self, server: standins.Server) -> None:
+        self.server = server
+        self.since = 0.0
+        self.late: list[str] = []
+        server.on_set_up = self.take
 
-async def start_and_lose_answer(connection: standins.Connection, uid: str, values: dict[int, bytes]) -> bool:
-    """Start the task; the connection is reset before its answer."""
-    connection.server.begin(connection, uid, values)
-    connection.server.record.add(connection.server.name, "the connection is reset under the request")
-    connection.reset()
-    return False
+    def begin(self) -> None:
+        """Begin to drain."""
+        self.since = time.monotonic()
 
+    async def take(self, connection: standins.Connection, uid: str, _: dict[int, bytes]) -> bool:
+        """Take a set-up, or refuse it."""
+        if not self.since:
+            return True
+        if (after := time.monotonic() - self.since) > DRAIN_S:
+            self.late.append(
+                f"set-up {uid} was sent to {self.server.name} {after:.2f} s after its drain was told"
+            )
+        self.server.refuse(connection, uid, "unfit")
+        return False
 
-async def place(
-    record: standins.Record, dispatcher: standins.Dispatcher, server: standins.Server
-) -> standins.Task:
-    """Have a task started on a server; the first dispatcher can't tell, and the owner makes sure."""
-    owner = await dispatcher.front("owner at n0")
-    task = standins.Task("ledger-batch", 10.0)
+
+async def preferred(owner: standins.Owner, servers: list[standins.Server]) -> standins.Server:
+    """Return the server that the dispatcher sends a task to now."""
+    task = standins.Task("lookup", 8.0)
     owner.set_up(task)
-    if not await standins.wait_until(lambda: bool(owner.heard(task.uid, "stop")), 11.0):
-        raise standins.CannotRunError("the first dispatcher has not answered")
-    if task.uid not in server.tasks:
-        raise standins.CannotRunError("the task was not started")
-    await asyncio.sleep(MAKE_SURE_S)
-    record.add("owner", f"has waited {MAKE_SURE_S:g} s, and finds that {server.name} holds {task.uid}")
-    return task
+    await standins.wait_until(lambda: bool(owner.answers.get(task.uid)), 9.0)
+    for server in servers:
+        if task.uid in server.tasks:
+            return server
+    raise standins.CannotRunError("a task was not placed on the new servers")
+
+
+async def play_reload(dispatcher: standins.Dispatcher, *, trouble: bool) -> None:
+    """Replace the configuration file by one that is short of a key, and send SIGHUP."""
+    if trouble:
+        config = dispatcher.config()
+        del config["changelog"]
+        dispatcher.write_config(config)
+        dispatcher.record.add(dispatcher.name, "the configuration file is now short of the key 'changelog'")
+        dispatcher.signal(standins.signal.SIGHUP)
+    await asyncio.sleep(SETTLE_S)
 
 
 async def case(record: standins.Record, folder: Path, *, trouble: bool) -> list[str]:
     """Play the case; return what was broken."""
-    full, new = standins.Server(record, "s-00000001"), standins.Server(record, "s-00000002")
-    full.on_set_up, new.on_set_up = refuse, start_and_lose_answer
-    for server in (full, new):
+    servers = [standins.Server(record, f"s-0000000{number}") for number in (1, 2, 3)]
+    for server in servers:
         await server.start()
-    logs = [standins.ChangeLog(record, [full.entry()], f"log of {name}") for name in ("n0", "n1")]
-    dispatchers = []
-    for log, name in zip(logs, ("n0", "n1"), strict=True):
-        await log.start()
-        dispatchers.append(standins.Dispatcher(record, folder, log, name))
-    first, second = dispatchers
+    lost, *others = servers
+    changelog = standins.ChangeLog(record, [lost.entry()])
+    await changelog.start()
+    dispatcher = standins.Dispatcher(record, folder, changelog)
+    dispatcher.start()
     try:
-        for dispatcher in dispatchers:
-            dispatcher.start()
-        owner = await second.front("owner at n1")
-        await first.front("front")
-        await asyncio.sleep(1.0)
-        silent_from = record.now()
-        if trouble:
-            logs[1].fall_silent(silent=True)
-        for log in logs:
-            log.tell([new.entry()])
-        if not await standins.wait_until(lambda: bool(new.connections), 5.0):
-            raise standins.CannotRunError("no dispatcher has connected to the new server")
-        task = await place(record, first, new)
-
-        owner.set_up(task, new.name)
-        await asyncio.sleep(silent_from + SILENCE_S - record.now())
-        if trouble:
-            logs[1].fall_silent(silent=False)
-        await asyncio.sleep(3.0)
-        broken = [
-            f"{task.uid} was released with cause {message['reason']} while it ran on {new.name}"
-            for message in owner.heard(task.uid, "stop")
-        ]
-        new.end(task.uid)
-        if not await standins.wait_until(lambda: bool(owner.heard(task.uid, "stop")), RELEASE_S):
-            broken.append(f"{task.uid} has ended, and no release came for it")
-        return broken
+        owner = await dispatcher.front("owner")
+        task = standins.Task("ledger-batch", 10.0)
+        owner.set_up(task)
+        if not await standins.wait_until(lambda: bool(owner.heard(task.uid, "running")), 9.0):
+            raise standins.CannotRunError("the task was not placed")
+        changelog.tell([server.entry() for server in others])
+        if not await standins.wait_until(lambda: all(server.connections for server in servers), 5.0):
+            raise standins.CannotRunError("the dispatcher has not connected to the new servers")
+        await asyncio.sleep(1.0)  # SIGHUP never comes in the first second
+        drain = Drain(await preferred(owner, others))
+
+        await play_reload(dispatcher, trouble=trouble)
+        lost.vanish()
+        drain.begin()
+        changelog.tell([lost.entry("terminated"), drain.server.entry("terminating")])
+        ended = time.monotonic()
+        await asyncio.sleep(0.5)
+        for _ in range(LOOKUPS):
+            owner.set_up(standins.Task("lookup", 8.0))
+            await asyncio.sleep(0.1)
+        remaining_s = ended + RELEASE_S - time.monotonic()
+        if not await standins.wait_until(lambda: bool(owner.heard(task.uid, "stop")), remaining_s):
+            drain.late.append(f"{task.uid} stands for ever: its server is gone, and no release came for it")
+        return drain.late
     finally:
-        for dispatcher in dispatchers:
-            dispatcher.cleanup()
+        dispatcher.cleanup()
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -206,7 +206,8 @@
             self._tell_end(connection, uid, "on this connection, the next one")
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             await connection.run()
-        self.connections.remove(connection)
+        if not connection.forgotten:
+            self.connections.remove(connection)
         self.record.add(self.name, "a connection has ended")
         if not self.vanished:
             writer.close()
@@ -256,12 +257,19 @@
         self.server = server
         self.reader = reader
         self.writer = writer
+        self.forgotten = False
 
     def write(self, data: bytes) -> None:
         """Send a message."""
         if not self.server.vanished:
             self.writer.write(data)
 
+    def forget(self) -> None:
+        """Forget the connection: its other end is told nothing, and whatever it sends meets a reset."""
+        self.forgotten = True
+        self.server.connections.remove(self)
+        self.server.record.add(self.server.name, "FORGETS the idle connection, and tells nobody")
+
     def reset(self) -> None:
         """Reset the connection."""
         sock = self.writer.get_extra_info("socket")
@@ -273,6 +281,12 @@
         server = self.server
         while True:
             length = int.from_bytes(await self.reader.readexactly(2), "big")
+            if self.forgotten:
+                server.record.add(
+                    server.name, "is sent something on the forgotten connection, which is reset"
+                )
+                self.reset()
+                return
             kind, uid, values = decode(await self.reader.readexactly(length))
             if server.vanished:
                 await asyncio.sleep(3600)
