--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""SIGHUP comes with a file that is short of the key ``changelog``; then a server is lost and another drains."""
+"""SIGHUP comes with a broken configuration file; then a server is lost and another drains."""
 
 from __future__ import annotations
 
 import asyncio
+import copy
 import sys
 import time
 from pathlib import Path
@@ -55,12 +56,14 @@
 
 
 async def play_reload(dispatcher: standins.Dispatcher, *, trouble: bool) -> None:
-    """Replace the configuration file by one that is short of a key, and send SIGHUP."""
+    """Replace the configuration file by a broken one, and send SIGHUP."""
     if trouble:
-        config = dispatcher.config()
+        config = copy.deepcopy(dispatcher.config())
         del config["changelog"]
+        config["settings"]["categories"][0]["deadline-s"] = 0.0
         dispatcher.write_config(config)
-        dispatcher.record.add(dispatcher.name, "the configuration file is now short of the key 'changelog'")
+        text = "the configuration file is now short of the key 'changelog', and has a deadline of 0"
+        dispatcher.record.add(dispatcher.name, text)
         dispatcher.signal(standins.signal.SIGHUP)
     await asyncio.sleep(SETTLE_S)
 
