review: the stand-ins end the dispatcher however their script ends

Need: a script that got SIGHUP or SIGKILL left its dispatcher running, and one that got SIGINT ended with -2.

Change: the dispatcher gets SIGKILL from the kernel when its parent ends; SIGHUP and SIGINT are handled as SIGTERM.

--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import secrets
@@ -25,6 +26,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
+PR_SET_PDEATHSIG = 1  # of prctl(2)
 READY_S = 30.0  # a dispatcher has to pass its first test within this time
 POLL_S = 0.005
 
@@ -39,6 +41,11 @@
     """The case could not be played; this says nothing about the dispatcher."""
 
 
+def end_with_parent() -> None:
+    """Have the kernel kill this new process when its parent ends, also if that is killed outright."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Record:
     """The record of one run: one line for each thing that was sent, answered or run."""
 
@@ -435,7 +442,12 @@
         environment |= {"LB_CONFIG": str(self.config_path)}
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", deploy["run"]], cwd=ROOT, env=environment, stdout=log, stderr=log
+                ["/bin/sh", "-c", deploy["run"]],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=end_with_parent,
             )
         self.record.add(self.name, "the dispatcher is started")
 
@@ -482,7 +494,8 @@
 def play(case: Callable[..., Awaitable[list[str]]], folder: Path) -> None:
     """Play a case, and exit with 1 if it names broken rules, 0 if it names none, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes that were started
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))  # ends the processes that were started
     record = Record(folder / "record.txt")
     record.add("case", f"begins, {'with' if trouble else 'without'} the disruption")
     code = 2
