review: an unexpected exception in a case ends with 2, not with 1

Need: exit code 1 means that a rule was broken; an exception of the test itself gave the same code.

Change: any exception of a case counts as a case that could not run.

Measured: a case that raises KeyError ends with 2.

--- a/review/standins.py
+++ b/review/standins.py
@@ -506,7 +506,7 @@
             record.add("case", f"BROKEN: {text}")
         code = 1 if broken else 0
         record.add("case", "the rule was broken" if broken else "the rule held")
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except Exception as error:  # also a fault of the case itself: exit code 1 is for broken rules alone
         record.add("case", f"could not run: {type(error).__name__}: {error}")
     finally:
         sys.stdout.write((folder / "record.txt").read_text(encoding="utf-8").splitlines()[-1] + "\n")
