Release a task whose end its node reports before the client hands it over

Cause: RunningTasks.finished dropped the end of an id that is not in the task table. At a start the node reports it on the connection that the new process opens, before the owner's set-up with `at` arrives, or between two pieces of it; adopt then took the task over as running, and nothing reports the end again.

Evidence: the trace has the release at 0.991 s and the set-up at 1.009 s (the other at 1.050 s, between pieces at 1.009 s and 1.091 s); a third task, which ends after its set-up, is released on the same connection within 1 ms.

Only what the node itself reported is kept: an end concluded from a broken connection says nothing on whether the attempt runs, so TaskFinished says who reported it (the golden samples compare that too).

--- a/tests/golden/wires.py
+++ b/tests/golden/wires.py
@@ -332,7 +332,14 @@
 def finished_event(
     outcome: Outcome, reason: Reason = Reason.UNSPECIFIED, report: LoadReport | None = None
 ) -> TaskFinished:
-    return TaskFinished(machine=MACHINE, uid=TASK_UID, outcome=outcome, reason=reason, load_report=report)
+    return TaskFinished(
+        machine=MACHINE,
+        uid=TASK_UID,
+        outcome=outcome,
+        reason=reason,
+        load_report=report,
+        reported_by_node=True,
+    )
 
 
 def progress_event(fact: TaskUpdateKind, level: float) -> TaskProgress:
@@ -564,6 +571,7 @@
             Reason.UNSPECIFIED,
             LoadReport(free_cores=6.0),
             NODE_FAILURE_CAUSE,
+            reported_by_node=True,
         ),
     ),
     node_report_sample(
--- a/thornshelf/core/messages.py
+++ b/thornshelf/core/messages.py
@@ -106,7 +106,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskFinished:
-    """An attempt or a running task has ended; ``detail`` is the cause from the node, if its wire format has one."""
+    """An attempt or a running task has ended.
+
+    ``detail``: the cause from the node, if its wire format has one. ``reported_by_node``: the node itself reported
+    the end; otherwise this dispatcher concluded it, for instance from a broken connection.
+    """
 
     machine: int
     uid: int
@@ -114,6 +118,7 @@
     reason: Reason = Reason.UNSPECIFIED
     load_report: LoadReport | None = None
     detail: FailureCause | None = None
+    reported_by_node: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/thornshelf/core/running_tasks.py
+++ b/thornshelf/core/running_tasks.py
@@ -8,6 +8,7 @@
 from thornshelf.core.client_connection import AnswerMetadata
 from thornshelf.core.messages import TaskFinished, TaskProgress
 from thornshelf.core.task import TaskRecord, TaskState
+from thornshelf.core.unclaimed_ends import UnclaimedEnds
 from thornshelf.placement import Outcome
 
 if TYPE_CHECKING:
@@ -22,11 +23,15 @@
 
     def __init__(self, core: DispatcherParts) -> None:
         self._core = core
+        self.unclaimed_ends = UnclaimedEnds()
 
     # starting
 
     def adopt(self, task: TaskRecord, node_name: str) -> None:
-        """Take over a task that already runs on a node; its client gets no answer, only a release at its end."""
+        """Take over a task that already runs on a node; its client gets no answer, only a release at its end.
+
+        The node may have reported that end already, before the client's request arrived.
+        """
         core = self._core
         machine = core.endpoints.machine_id(node_name)
         task.machine = machine
@@ -38,6 +43,12 @@
         core.placement.events.append(api.TaskAdopted(core.scheduler.placement_request(task), machine))
         if core.idempotency is not None and core.idempotency.deduplicates(task.request):
             core.idempotency.register_adopted(task)
+        end = self.unclaimed_ends.take(machine, task.node_uid, core.loop.now)
+        if end is not None:
+            values: dict[str, object] = {"uid": f"{task.node_uid:016x}", "node": node_name}
+            core.log(6, "end-claimed", values, "the node reported the task's end before it was handed over")
+            core.inbox.append(end)
+            return
         node = core.endpoints.nodes.get(machine)
         if node is not None:
             node.watch_task(task.node_uid)
@@ -94,11 +105,14 @@
     def finished(self, item: TaskFinished) -> None:
         """End a running task and notify its clients at once, or queue the end of an attempt.
 
-        Ended attempts are processed a few per turn, and releases must not wait behind them.
+        Ended attempts are processed a few per turn, and releases must not wait behind them. The end of an unknown
+        task is kept if its node reported it, as the request that hands the task over may still be on its way.
         """
         core = self._core
         task = core.tasks.by_uid.get(item.uid)
         if task is None:
+            if item.reported_by_node:
+                self.unclaimed_ends.add(item, core.loop.now)
             return
         if task.attempt is not None:
             core.attempts.ended.append(item)
--- a/thornshelf/nodes/binary.py
+++ b/thornshelf/nodes/binary.py
@@ -146,7 +146,7 @@
         outcome = outcomes.get(message.cause, Outcome.BROKEN)
         reason = REASONS_BY_NAME.get(message.text(binary.NOTE_NAME) or "", Reason.UNSPECIFIED)
         report = decode_load_report(binary.parse_load_report(message.text(binary.REPORT)))
-        self.node.attempt_finished(uid, outcome, reason, report)
+        self.node.end_reported(uid, outcome, reason, report)
 
     def _task_progressed(self, message: binary.Message) -> None:
         kind = UPDATE_KINDS_BY_NAME.get(message.text(binary.NOTE_NAME) or "")
--- a/thornshelf/nodes/grpc.py
+++ b/thornshelf/nodes/grpc.py
@@ -221,7 +221,7 @@
         if cause is not None:
             outcome, reason = to_placement_outcome(outcome, cause.reason)
         report = decode_load_report(_finite(end.load.fields))
-        self.node.attempt_finished(uid, outcome, reason, report, cause)
+        self.node.end_reported(uid, outcome, reason, report, cause)
 
     def _cause(self, end: Any) -> FailureCause | None:
         """Return the cause that the node gave; the first generation has no field for it."""
--- a/thornshelf/nodes/node_connection.py
+++ b/thornshelf/nodes/node_connection.py
@@ -231,19 +231,26 @@
         if self.in_flight.pop(uid, None) is not None:
             self.running.add(uid)
 
-    def attempt_finished(
+    def end_reported(
         self,
         uid: int,
         outcome: Outcome,
-        reason: Reason = Reason.UNSPECIFIED,
-        report: LoadReport | None = None,
+        reason: Reason,
+        report: LoadReport | None,
         cause: FailureCause | None = None,
     ) -> None:
-        """Report to the core that an attempt or a running task has ended."""
-        self.in_flight.pop(uid, None)
-        self.running.discard(uid)
-        self.pending_cancellations.pop(uid, None)
-        self.core.inbox.append(TaskFinished(self.machine, uid, outcome, reason, report, cause))
+        """Pass to the core the node's report that an attempt or a running task has ended."""
+        self._finish(TaskFinished(self.machine, uid, outcome, reason, report, cause, reported_by_node=True))
+
+    def attempt_finished(self, uid: int, outcome: Outcome, cause: FailureCause | None = None) -> None:
+        """Report to the core that an attempt has ended, though the node has not reported it."""
+        self._finish(TaskFinished(self.machine, uid, outcome, detail=cause))
+
+    def _finish(self, item: TaskFinished) -> None:
+        self.in_flight.pop(item.uid, None)
+        self.running.discard(item.uid)
+        self.pending_cancellations.pop(item.uid, None)
+        self.core.inbox.append(item)
 
     def health_check_completed(self, outcome: Outcome, report: LoadReport | None) -> None:
         """Report the result of the health check to the core; ignored if no check is open."""
