Ping a quiet connection on which tasks run, to find that its node forgot it

Cause: LivenessMonitor watched a connection only while an attempt was in flight, a message half read or a ping unanswered. Where tasks only run, nothing is sent for ever; a node that has forgotten the connection keeps the end for the next one, which was never opened.

Evidence: in the trace there is no message and no connection between the forgetting (30.68 s) and a new set-up (39.74 s); that meets the reset, and the release comes 12 ms later. The tests show the same over both generations of gRPC, on draining nodes, and for a task that is handed over on such a connection.

Change: once it has been quiet for as long as an idle link is kept (0.8 times keepalive-s), such a connection is pinged every 4 to 5 s. Silence of 1.2 s, or a reset, makes it again. A draining node may refuse new connections while its tasks run on: its silent connection is closed only once another one is open, and a reset that answers a ping doesn't count as the end of its process.

Ruled out, as a trial: pinging after 4 to 5 s of quiet in any case.

Checks are due at multiples of 0.1 s and differ by node, so that connections share turns and none pings all at once.

--- a/thornshelf/lab/fakes/nodes.py
+++ b/thornshelf/lab/fakes/nodes.py
@@ -80,6 +80,10 @@
         self.delayed_tasks: dict[int, tuple[ReceivedMessage, Any]] = {}  # delayed tasks, by request id
         self.responders: list[Any] = []  # of the open connections, the newest last
         self.ignores_input = False  # reads from its connections, and ignores what it reads
+        self.deaf_streams: set[Stream] = (
+            set()
+        )  # connections from which the node reads, and ignores what it reads
+        self.forgets_connections = False  # resets its connections as soon as anything comes on one of them
         self.received_kinds: list[tuple[str, int]] = []  # kind and request id of each received message
         self.running: set[int] = set()  # request ids
         self.streams: list[Stream] = []
@@ -127,6 +131,14 @@
                 stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
                 stream.close()
 
+    def accept_input(self, stream: Stream, data: bytes) -> bytes:
+        """Return the part of the received bytes that the node processes: all or nothing."""
+        if self.forgets_connections:
+            self.forgets_connections = False
+            self.break_streams()
+            return b""
+        return b"" if self.ignores_input or stream in self.deaf_streams else data
+
     def _accept(self) -> Generator[Wait, int, None]:
         while True:
             yield Wait(self.sock.fileno(), IN)
@@ -229,7 +241,7 @@
     reader, responder = binary.MessageReader(), BinaryResponder(node.loop, stream)
     node.add_responder(responder)
     while data := (yield from stream.read()):
-        reader.feed(b"" if node.ignores_input else data)
+        reader.feed(node.accept_input(stream, data))
         try:
             while (message := reader.next()) is not None:
                 if message.type == binary.TEST:
@@ -291,7 +303,7 @@
     headers = [(":status", "200"), ("content-type", "application/grpc")]
     while data := (yield from stream.read()):
         try:
-            events = h2.receive(b"" if node.ignores_input else data)
+            events = h2.receive(node.accept_input(stream, data))
         except WireError:
             break
         for event in events:
--- a/thornshelf/nodes/liveness.py
+++ b/thornshelf/nodes/liveness.py
@@ -15,13 +15,22 @@
 MAX_PARTIAL_CHECKS = 3  # the connection is closed if a message is still incomplete after this many checks
 CHECKS_BEFORE_PING = 4  # the peer is pinged after this many checks in a row without received data
 MAX_UNANSWERED_CHECKS = 12  # the connection is closed after this many checks in a row without received data
+# A connection to a node on which tasks run is pinged this often once it has been quiet for as long as an idle link
+# is kept. The release of a task that has ended is due within 8 s; an unanswered ping, reconnecting and one failed
+# connect take up to 2 s of that.
+QUIET_PING_INTERVAL_US = 5_000_000
+# Up to this much is deducted, by node, so that connections that became quiet together are not all pinged in one turn.
+QUIET_PING_SPREAD_US = 1_000_000
+QUIET_PING_PHASES = 997
 
 
 class LivenessMonitor:
-    """Checks one connection while a reply or the rest of a message is expected on it.
+    """Checks one connection while a reply, the rest of a message or the end of a running task is expected on it.
 
     Guards against a corrupt connection that stays open, on which updates of running tasks would be lost: a wrong
-    length makes the messages that follow part of another one, or an answer is cut off or never sent.
+    length makes the messages that follow part of another one, or an answer is cut off or never sent. Guards also
+    against a connection that the node or the network has forgotten while it was quiet: the ends of tasks are reported
+    on the next connection, which is opened only once this one is known to be lost.
     """
 
     def __init__(self, link: MonitoredLink) -> None:
@@ -30,6 +39,10 @@
         self._ping_sent = False
         self._checks_without_data = 0  # since data was last received
         self._partial_checks = 0  # since the present message began
+        # When data last came that was not the answer to a ping of the quiet connection.
+        self._quiet_since_us = link.node.loop.now
+        self._quiet_check_scheduled = False
+        self._quiet_ping_sent = False  # a ping of the quiet connection has no answer yet
 
     def watch(self) -> None:
         """Start checking the connection; call this for each request that awaits a reply."""
@@ -37,10 +50,23 @@
             self._check_scheduled = True
             self._link.node.loop.call_later(CHECK_INTERVAL_US, self._check)
 
+    def watch_tasks(self) -> None:
+        """Start pinging the connection when it is quiet; call this for each running task whose end is awaited."""
+        if not self._quiet_check_scheduled:
+            self._schedule_quiet_check(self._first_ping_us())
+
+    @property
+    def quiet_ping_unanswered(self) -> bool:
+        """Whether a ping that was sent because the connection was quiet has no answer."""
+        return self._quiet_ping_sent
+
     def bytes_received(self) -> None:
         """Record that the peer has sent data, which proves that it is alive."""
         self._checks_without_data = 0
         self._ping_sent = False
+        if not self._quiet_ping_sent:
+            self._quiet_since_us = self._link.node.loop.now
+        self._quiet_ping_sent = False
 
     def message_begun(self) -> None:
         """Record that a new message has begun, whose end is expected."""
@@ -57,9 +83,52 @@
         if link.mid_message and self._partial_checks >= MAX_PARTIAL_CHECKS:
             link.close("a message stayed incomplete")
         elif self._checks_without_data >= MAX_UNANSWERED_CHECKS:
-            link.close("no data received, not even an answer to a ping")
+            self._close_unresponsive()
         else:
             if self._checks_without_data >= CHECKS_BEFORE_PING and not self._ping_sent:
                 self._ping_sent = True
                 link.ping()
             self.watch()
+
+    def _close_unresponsive(self) -> None:
+        """Close a connection without an answer to a ping; that of a draining node only once it can be replaced.
+
+        A draining node may refuse new connections while its tasks run on, and report their ends on this one.
+        """
+        node = self._link.node
+        if node.draining and not node.in_flight:
+            self._ping_sent = False
+            self._quiet_ping_sent = False
+            self._checks_without_data = 0
+            node.open_replacement()
+        else:
+            self._link.close("no data received, not even an answer to a ping")
+
+    def _first_ping_us(self) -> int:
+        """Return when the connection is pinged first, if no data comes."""
+        return self._quiet_since_us + max(QUIET_PING_INTERVAL_US, self._link.node.idle_timeout_us())
+
+    def _schedule_quiet_check(self, due_us: int) -> None:
+        self._quiet_check_scheduled = True
+        node = self._link.node
+        phase = node.machine % QUIET_PING_PHASES
+        due_us = max(node.loop.now, due_us - QUIET_PING_SPREAD_US * phase // QUIET_PING_PHASES)
+        # Rounded up, so that many connections share a turn: a turn for each would cost more than the pings.
+        node.loop.call_at(-(-due_us // CHECK_INTERVAL_US) * CHECK_INTERVAL_US, self._check_quiet)
+
+    def _check_quiet(self) -> None:
+        self._quiet_check_scheduled = False
+        link = self._link
+        node = link.node
+        if not link.stream.open or not node.running:
+            return
+        first_ping_us = self._first_ping_us()
+        if node.loop.now < first_ping_us - QUIET_PING_SPREAD_US:
+            self._schedule_quiet_check(first_ping_us)
+            return
+        if not self._ping_sent:
+            self._ping_sent = True
+            self._quiet_ping_sent = True
+            link.ping()
+            self.watch()
+        self._schedule_quiet_check(node.loop.now + QUIET_PING_INTERVAL_US)
--- a/thornshelf/nodes/node_connection.py
+++ b/thornshelf/nodes/node_connection.py
@@ -143,7 +143,7 @@
 
     def watch_task(self, uid: int) -> None:
         """Await the report of a running task's end, which the node sends on an open link or on the next one."""
-        self.running.add(uid)
+        self._await_end(uid)
         self._reconnector.ensure_connecting()
 
     def unwatch_task(self, uid: int) -> None:
@@ -229,7 +229,12 @@
     def task_started(self, uid: int) -> None:
         """Record that an attempt's task runs, so that it no longer depends on this link."""
         if self.in_flight.pop(uid, None) is not None:
-            self.running.add(uid)
+            self._await_end(uid)
+
+    def _await_end(self, uid: int) -> None:
+        self.running.add(uid)
+        if self.link is not None:
+            self.link.liveness.watch_tasks()
 
     def end_reported(
         self,
@@ -306,6 +311,15 @@
         if self.link is not None:
             self.link.evict()
 
+    def close_link(self, reason: str) -> None:
+        """Close the link as unusable, if there is one."""
+        if self.link is not None:
+            self.link.close(reason)
+
+    def open_replacement(self) -> None:
+        """Open another connection, which takes the place of the present one if that succeeds."""
+        self._reconnector.open_replacement()
+
     def idle_timeout_us(self) -> int:
         """Return how long an idle link is kept, in microseconds."""
         keepalive_s = self.core.settings.limits.keepalive_s * IDLE_TIMEOUT_FRACTION
@@ -327,6 +341,8 @@
         link = self.link = self.make_link(stream)
         self.loop.on_peer_close(stream.fd, stream.mark_peer_closed)
         self._unreachable = False
+        if self.running:
+            link.liveness.watch_tasks()
         try:
             if link.handshake_complete:
                 self._send_pending(link)
--- a/thornshelf/nodes/node_link.py
+++ b/thornshelf/nodes/node_link.py
@@ -21,6 +21,7 @@
 CLOSED_BY_PEER = DisconnectReason(
     DisconnectCause.CLOSED_BY_PEER, "connection ended by the node or the network"
 )
+FORGOTTEN = DisconnectReason.unusable("a quiet connection ended as it was pinged: the node had forgotten it")
 
 
 class NodeLink:
@@ -117,7 +118,7 @@
                 elif node.loop.now - last_active_us >= node.idle_timeout_us():
                     return IDLE
             elif not data:
-                return self._close_reason
+                return self._end_reason()
             else:
                 last_active_us = node.loop.now
                 if (reason := self._process(data)) is not None:
@@ -125,6 +126,15 @@
             if not self.accepting and not node.in_flight:
                 return DisconnectReason.unusable("all attempts finished, replaced by a new connection")
 
+    def _end_reason(self) -> DisconnectReason:
+        """Return why the connection has ended.
+
+        An end that answers a ping on a quiet connection doesn't show that the node's process has died.
+        """
+        if self._close_reason is CLOSED_BY_PEER and self.liveness.quiet_ping_unanswered:
+            return FORGOTTEN
+        return self._close_reason
+
     def _read_deadline_us(self, began_us: int) -> int:
         node = self.node
         if not self.handshake_complete:
--- a/thornshelf/nodes/ports.py
+++ b/thornshelf/nodes/ports.py
@@ -19,12 +19,18 @@
     """The node connection, as its link sees it."""
 
     loop: Loop
+    machine: int
     hello_timeout_us: int
+    draining: bool
 
     @property
     def in_flight(self) -> MutableMapping[int, Any]:
         """Attempts, by id, that were sent and have neither started nor ended."""
 
+    @property
+    def running(self) -> MutableSet[int]:
+        """Ids of tasks whose end the node has to report."""
+
     @property
     def idle(self) -> bool:
         """Whether nothing is expected of the node."""
@@ -32,6 +38,9 @@
     def idle_timeout_us(self) -> int:
         """Return how long an idle link is kept, in microseconds."""
 
+    def open_replacement(self) -> None:
+        """Open another connection, which takes the place of the present one if that succeeds."""
+
 
 class MonitoredLink(Protocol):
     """A link, as its liveness monitor sees it."""
@@ -84,6 +93,9 @@
     def evict(self) -> None:
         """Close the link, because another node needs its descriptor more."""
 
+    def close_link(self, reason: str) -> None:
+        """Close the link as unusable, if there is one."""
+
     def serve_link(self, stream: Stream) -> Generator[Wait, int, DisconnectReason]:
         """Serve a new connection until it ends; returns the reason."""
 
--- a/thornshelf/nodes/reconnect.py
+++ b/thornshelf/nodes/reconnect.py
@@ -31,6 +31,8 @@
     def __init__(self, node: ReconnectingNode) -> None:
         self._node = node
         self._task: Task | None = None
+        self._replacement: Stream | None = None  # opened beside the present connection
+        self._replacement_task: Task | None = None
         # The node closed the last connection, so that its process may be dead.
         self._last_closed_by_peer = False
         self._last_short_lived = False  # the last connection ended within RECONNECT_BACKOFF_US
@@ -57,8 +59,16 @@
         if not self._node.closed and not self.is_running:
             self._task = self._node.loop.spawn(self._keep_connected())
 
+    def open_replacement(self) -> None:
+        """Open another connection, which takes the place of the present one if that succeeds."""
+        if self._replacement_task is None or self._replacement_task.done:
+            self._replacement_task = self._node.loop.spawn(self._open_replacement())
+
     def stop(self) -> None:
-        """Close the connection and cancel the delayed first connect."""
+        """Close the connections and cancel the delayed first connect."""
+        if self._replacement_task is not None:
+            self._node.loop.cancel(self._replacement_task)
+        self._close_replacement()
         if self._task is not None:
             self._node.loop.cancel(self._task)
         if self._initial_timer is not None:
@@ -77,8 +87,7 @@
         while not node.closed and (self._initial_connect_due or not node.idle):
             self._initial_connect_due = False
             began_us = node.loop.now
-            timeout_s = node.core.settings.limits.connect_timeout_s or DEFAULT_CONNECT_TIMEOUT_S
-            stream = yield from self._connect(began_us + int(timeout_s * 1e6))
+            stream = self._take_replacement() or (yield from self._connect())
             if isinstance(stream, int):
                 self._connect_failed(stream)
                 if node.idle:
@@ -90,7 +99,10 @@
             if reason.cause is DisconnectCause.EVICTED:
                 yield Wait(until=node.loop.now + DESCRIPTOR_BACKOFF_US)
             elif not node.closed and reason.cause is not DisconnectCause.IDLE:
-                yield Wait(until=node.loop.now + self._disconnected(reason, began_us))
+                delay_us = self._disconnected(reason, began_us)
+                if self._replacement is None:
+                    yield Wait(until=node.loop.now + delay_us)
+        self._close_replacement()
 
     def _connect_failed(self, error_number: int) -> None:
         """Fail the attempts that waited for the connection, and the running tasks if the node's process is dead."""
@@ -134,8 +146,34 @@
             return RECONNECT_BACKOFF_US
         return FAST_RECONNECT_US
 
-    def _connect(self, until_us: int) -> Generator[Wait, int, Stream | int]:
+    def _open_replacement(self) -> Generator[Wait, int, None]:
+        """Open a connection beside the present one, and then close that."""
+        stream = yield from self._connect()
+        if isinstance(stream, int):
+            return  # the present connection is still the best that there is
+        if self._node.closed or not self.is_running:
+            stream.close()
+            return
+        self._replacement = stream
+        self._node.close_link("no data received, not even an answer to a ping; another connection is open")
+
+    def _take_replacement(self) -> Stream | None:
+        replacement, self._replacement = self._replacement, None
+        pool = self._node.core.node_connections
+        if replacement is not None and pool is not None:
+            # The pool counts one connection for each node, and its entry went with the one that was replaced.
+            pool.acquire(self._node, self._node.loop.now, wanted=False)
+        return replacement
+
+    def _close_replacement(self) -> None:
+        if self._replacement is not None:
+            self._replacement.close()
+            self._replacement = None
+
+    def _connect(self) -> Generator[Wait, int, Stream | int]:
         """Open a connection; returns the errno if that fails, with EMFILE if no descriptor is left for it."""
+        timeout_s = self._node.core.settings.limits.connect_timeout_s or DEFAULT_CONNECT_TIMEOUT_S
+        until_us = self._node.loop.now + int(timeout_s * 1e6)
         release = self._acquire_descriptor()
         if release is None:
             return errno.EMFILE
