Reject a configuration file that lacks a key in force, or has a deadline of 0

Cause: in a reload a missing key counted as its default. `changelog` is optional, so the file without it ended the watch of the change log. And a deadline or a number of attempts of 0 passed the check of the settings.

Evidence: the record has config-reloaded without a warning, and no poll after it. With one key of the example removed at a time, 105 of 121 files were taken over; so were a deadline and a number of attempts of 0, `changelog` of null, and an operator's file that is empty or cut off.

Change: a reload rejects files that lack a key of those in force: any key of the JSON file, any table of the operator's file, the end of its last line. Classes and tenants may be dropped as a whole. Deadlines and attempts have to be over 0, at a start too. SIGUSR2 checks the files in the same way before it starts a successor. Service no longer has a way to end the watch, and EndpointWatch.stop, which only that used, is gone.

--- a/thornshelf/configuration/model.py
+++ b/thornshelf/configuration/model.py
@@ -7,6 +7,9 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from thornshelf.configuration.file_shape import FileShape, check_complete
+from thornshelf.errors import ConfigError
+
 if TYPE_CHECKING:
     from thornshelf import placement as api
     from thornshelf.admission.fair_queue import FairQueueConfig
@@ -112,13 +115,24 @@
     fleet: FleetConfig | None = None
     control: ControlConfig | None = None
     subset: ZoneSubsetConfig | None = None
+    file_shape: FileShape | None = None  # None if the configuration was not read from files
 
     def reloaded(self, new: Config) -> ReloadedConfig:
         """Returns this configuration with those values of ``new`` that can change in a running process.
 
         The initial endpoints are not replaced, since the endpoint watch continues from the last event it received.
+        Raises ``ConfigError``, which names the key, if ``new`` lacks a key that this configuration has.
         """
-        config = replace(self, endpoint_source=new.endpoint_source, max_descriptors=new.max_descriptors)
+        if self.file_shape is not None and new.file_shape is not None:
+            check_complete(new.file_shape, self.file_shape)
+        if self.endpoint_source is not None and new.endpoint_source is None:
+            raise ConfigError("changelog: missing, though the configuration in force has it")
+        config = replace(
+            self,
+            endpoint_source=new.endpoint_source,
+            max_descriptors=new.max_descriptors,
+            file_shape=new.file_shape,
+        )
         if self.admission is not None and new.admission is not None:
             # Admission control can be reconfigured, but not turned on or off.
             config = replace(config, admission=new.admission)
--- a/thornshelf/configuration/operator_file.py
+++ b/thornshelf/configuration/operator_file.py
@@ -9,6 +9,7 @@
 
 from thornshelf.configuration import schema
 from thornshelf.configuration.addresses import parse_address, parse_collector
+from thornshelf.configuration.file_shape import FileShape, table_paths
 from thornshelf.configuration.model import Config, ControlConfig, GrpcConfig
 from thornshelf.errors import ConfigError, SchemaError
 
@@ -21,24 +22,39 @@
     Paths in the file are relative to its folder. Raises ``ConfigError``, which names the key that is missing or
     invalid.
     """
-    document = _read_toml(path)
+    text = _read_text(path)
+    document = _parse_toml(text, path)
     try:
         tables = schema.convert(document)
     except SchemaError as error:
         raise ConfigError(f"{error} (in {path})") from None
-    return _apply_tables(tables, config, Path(path).parent)
+    config = _apply_tables(tables, config, Path(path).parent)
+    return replace(config, file_shape=_add_shape(config.file_shape, document, text))
 
 
-def _read_toml(path: str) -> dict[str, Any]:
+def _read_text(path: str) -> str:
     try:
-        with open(path, "rb") as file:
-            return tomllib.load(file)
+        return Path(path).read_text(encoding="utf-8")
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
-    except tomllib.TOMLDecodeError as error:
+    except UnicodeDecodeError as error:
         raise ConfigError(f"{path}: not TOML: {error}") from None
 
 
+def _parse_toml(text: str, path: str) -> dict[str, Any]:
+    try:
+        return tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        raise ConfigError(f"{path}: not TOML: {error}") from None
+
+
+def _add_shape(shape: FileShape | None, document: dict[str, Any], text: str) -> FileShape | None:
+    """Add the operator's file to the shape of the configuration files."""
+    if shape is None:
+        return None
+    return replace(shape, operator_tables=table_paths(document), last_line_complete=text.endswith("\n"))
+
+
 def _apply_tables(tables: schema.OperatorFile, config: Config, folder: Path) -> Config:
     """Add the tables to the configuration; a table's module is imported only if the file has that table."""
     config = _apply_grpc_and_syslog(tables, config)
--- a/thornshelf/configuration/reader.py
+++ b/thornshelf/configuration/reader.py
@@ -8,6 +8,7 @@
 
 from thornshelf import placement as api
 from thornshelf.configuration.addresses import Address, parse_address
+from thornshelf.configuration.file_shape import FileShape, json_keys
 from thornshelf.configuration.model import Config
 from thornshelf.errors import ConfigError, WireError
 from thornshelf.placement.simulator.settings import decode_settings
@@ -56,6 +57,7 @@
         endpoint_source=_decode_endpoint_source(document),
         initial_endpoints=initial_endpoints,
         settings=settings,
+        file_shape=FileShape(json_keys(document)),
     )
 
 
--- a/thornshelf/discovery/endpoint_watch.py
+++ b/thornshelf/discovery/endpoint_watch.py
@@ -80,10 +80,6 @@
         self.last_sequence = 0
         self.reconnect_to(self.address)
 
-    def stop(self) -> None:
-        """End the watch and close its connection."""
-        self.loop.cancel(self._task)
-
     def _log_invalid(self, error: WireError) -> None:
         fields: dict[str, object] = {"since": self.last_sequence, "code": error.code}
         self._log(WARNING, "endpoint-invalid", fields, str(error))
--- a/thornshelf/placement/simulator/settings.py
+++ b/thornshelf/placement/simulator/settings.py
@@ -65,10 +65,24 @@
             return default
         return parse_number(self.text(path), path)
 
+    def positive_number(self, path: str) -> float:
+        """Return a required finite number over 0."""
+        value = self.number(path)
+        if value <= 0.0:
+            raise WireError(f"{path} is not over 0: {self.text(path)!r}")
+        return value
+
     def integer(self, path: str) -> int:
         """Return a required integer of at least 0."""
         return parse_integer(self.text(path), path)
 
+    def positive_integer(self, path: str) -> int:
+        """Return a required integer over 0."""
+        value = self.integer(path)
+        if value == 0:
+            raise WireError(f"{path} is not over 0: {self.text(path)!r}")
+        return value
+
     def flag(self, path: str) -> bool:
         """Return a flag; False if the path is missing."""
         text = self._values.get(path, "false")
@@ -138,7 +152,7 @@
 
 def _decode_limits(table: SettingsTable) -> api.Limits:
     return api.Limits(
-        max_attempts=table.integer("limits.send-cap"),
+        max_attempts=table.positive_integer("limits.send-cap"),
         may_cancel=table.flag("limits.may-cancel"),
         may_probe=table.flag("limits.may-probe"),
         may_hedge=table.flag("limits.may-duplicate"),
@@ -223,7 +237,7 @@
         idempotency_window_s=table.number(path + "dedup-window-s", 0.0),
         latency_objective_s=table.number(path + "aim-s"),
         latency_objective_stretch=table.number(path + "aim-stretch", 0.0),
-        deadline_s=table.number(path + "deadline-s"),
+        deadline_s=table.positive_number(path + "deadline-s"),
         priority_weight=table.number(path + "worth", 1.0),
         priority_weight_past_objective=table.number(path + "late-worth", 0.0),
         start_weight_s=_item(lists.start_weights_s, index, 0.0),
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -222,14 +222,11 @@
                 self._log_exception(error)
 
     def _watch_endpoints(self, address: Address | None) -> None:
-        """Watch the endpoint list at an address, starting after the last known event; None ends the watch."""
+        """Watch the endpoint list at an address, starting after the last known event; None: there is no watch."""
         watch = self.endpoint_watch
         if address is None:
-            if watch is not None:
-                self._last_sequence = watch.last_sequence
-                self.endpoint_watch = None
-                watch.stop()
-        elif watch is None:
+            return
+        if watch is None:
             self.endpoint_watch = EndpointWatch(
                 self.loop,
                 address,
@@ -322,10 +319,17 @@
     def hand_over(self) -> None:
         """Start a successor on the same listening sockets, hand over to it once it is ready, and stop.
 
-        If the successor fails to start, this process keeps serving.
+        If the successor fails to start, this process keeps serving. So it does if the files lack a key that is in
+        force, as the successor can't know that.
         """
         if self._shutting_down or self._handing_over:
             return
+        try:
+            if self._reread is not None:
+                self.config.reloaded(self._reread())
+        except ConfigError as error:
+            self.log(3, "successor-failed", {"kept": "old", "code": error.code}, str(error))
+            return
         self._handing_over = True
         self.loop.spawn(self._hand_over())
 
