--- a/thornshelf/configuration/descriptors.py
+++ b/thornshelf/configuration/descriptors.py
@@ -10,7 +10,7 @@
 RESERVED_DESCRIPTORS = 96
 # Without admission control: descriptors for the endpoint watch, the log, listeners and others.
 _OVERHEAD_DESCRIPTORS = 24
-_RESERVED_DIVISOR = 4  # at most 1/4 of all descriptors is reserved
+_RESERVED_DIVISOR = 4  # at most 1/4 of all descriptors is reserved, which matters where there are few
 _CLIENT_DIVISOR = 3  # 1/3 is always left for clients: the most that the protocol lets them hold
 
 
--- a/thornshelf/core/task_table.py
+++ b/thornshelf/core/task_table.py
@@ -11,8 +11,7 @@
 class TaskPages(dict[int, TaskRecord]):
     """Tasks by number, also grouped into pages of consecutive numbers.
 
-    Readers take one page at a time, because listing 100,000 tasks at once would block a turn for several
-    milliseconds.
+    Readers take one page at a time, because listing 100,000 tasks at once would block a turn for 6 to 9 ms.
     """
 
     PAGE_BITS = 9  # 512 numbers per page
--- a/thornshelf/frontends/admission_filter.py
+++ b/thornshelf/frontends/admission_filter.py
@@ -225,7 +225,10 @@
         return ReadBackoff()
 
     def _record_rejection(self, kind: str, source: Source, known: bool) -> None:
-        """Count a rejection, and schedule the log line that summarises it."""
+        """Count a rejection, and schedule the log line that summarises it.
+
+        Summaries are logged at most once a second, so that no flood fills the log.
+        """
         due_us = self.rejection_log.record(kind, source, known, self.loop.now)
         if due_us is not None:
             self.loop.call_at(due_us, self._log_summary)
--- a/thornshelf/frontends/grpc.py
+++ b/thornshelf/frontends/grpc.py
@@ -68,7 +68,7 @@
     def close_idle(self) -> None:
         """Shut down gracefully: send GOAWAY, end streams without an open request, and close idle connections.
 
-        Called repeatedly until no connection is left.
+        Called repeatedly until no connection is left; each is closed as soon as it is idle.
         """
         self.shutting_down = True
         for connection in list(self._connections):
--- a/thornshelf/membership/query_gatherer.py
+++ b/thornshelf/membership/query_gatherer.py
@@ -1,6 +1,6 @@
 """The querier of a scatter-gather query: requests the chunks of all members' replies, and collects their rows.
 
-Each member whose reply is missing or incomplete is reported with the reason.
+Each member whose reply is missing or incomplete is reported with the reason, so that no rows are missing unnoticed.
 """
 
 from __future__ import annotations
--- a/thornshelf/placement/candidates.py
+++ b/thornshelf/placement/candidates.py
@@ -17,7 +17,7 @@
 from thornshelf.placement.rules import PlacementRules
 from thornshelf.placement.usage import REPORT_DECAY_S, UsageEstimator
 
-TARGET_UTILIZATION = 0.75  # [D1] of the pool; the rest absorbs bursts and failures
+TARGET_UTILIZATION = 0.75  # [D1] of the pool; the rest absorbs bursts and failures between two decisions
 RANK_TOLERANCE = 1.02  # ranks within this ratio count as equal: one is chosen at random
 
 
--- a/thornshelf/placement/connect_pacing.py
+++ b/thornshelf/placement/connect_pacing.py
@@ -1,6 +1,7 @@
 """Bounds how often all placers together connect to one machine.
 
-Placers do not know of each other's connections. Each computes its own delay from its index in the settings,
+Connects that are harmless from one placer are a flood from a thousand. Placers do not know of each other's
+connections. Each computes its own delay from its index in the settings,
 which spreads them evenly over time; a small number of placers is not delayed. Durations are in seconds.
 """
 
--- a/thornshelf/placement/health_check_schedule.py
+++ b/thornshelf/placement/health_check_schedule.py
@@ -12,7 +12,7 @@
 from thornshelf.placement.connect_pacing import slot_offset
 
 MAX_UNPACED_PLACERS = 16  # up to this number, placers stay within the bound without slots
-HEALTH_CHECKS_PER_S = 64.0  # of one machine, by all placers together
+HEALTH_CHECKS_PER_S = 64.0  # of one machine, by all placers together: four each of 16 placers
 MAX_HEALTH_CHECK_INTERVAL_S = 8.0  # of one placer; no longer than an ejection
 
 
--- a/thornshelf/placement/machine_index.py
+++ b/thornshelf/placement/machine_index.py
@@ -18,7 +18,7 @@
 ResourcePair = tuple[float, float]  # cores and memory
 RESOURCES = (0, 1)  # the indices of a pair
 REFRESH_SLICE_SIZE = 64  # machines refreshed with each decision, at about the cost of the decision itself
-MAX_CALLS_PER_REFRESH = 4  # ``advance_refresh`` completes a round after this many calls
+MAX_CALLS_PER_REFRESH = 4  # of ``advance_refresh``, which complete a round however few decisions there are
 MIN_USAGE_RATIO = -4.0  # reported usage is clamped to this range, in multiples of the capacity
 MAX_USAGE_RATIO = 2.0
 
--- a/thornshelf/placement/outliers.py
+++ b/thornshelf/placement/outliers.py
@@ -10,7 +10,7 @@
 from thornshelf.placement.machine import Machine, Rejection
 from thornshelf.placement.requests import AttemptState, PendingRequest
 
-FAILURES_BEFORE_EJECTION = 2  # consecutive
+FAILURES_BEFORE_EJECTION = 2  # consecutive; a single failure may be chance
 EJECTION_S = 1.0  # doubles with each further failure
 MAX_EJECTION_S = 8.0
 QUEUE_FULL_BACKOFF_S = 0.4  # from a machine that refused an attempt as its queue was full
--- a/thornshelf/placement/reservations.py
+++ b/thornshelf/placement/reservations.py
@@ -41,7 +41,10 @@
         return demand[0] > LARGE_TASK_RATIO * cores > 0.0 or demand[1] > LARGE_TASK_RATIO * memory > 0.0
 
     def fits_empty_machine(self, demand: ResourcePair) -> bool:
-        """Return whether the demand is within the most cores and the most memory of any machine."""
+        """Return whether the demand is within the most cores and the most memory of any machine.
+
+        Nothing is reserved for a larger task, as no machine could hold it even while empty.
+        """
         largest = self._endpoints.largest_capacity
         return all(requested <= capacity for capacity, requested in zip(largest, demand, strict=True))
 
--- a/thornshelf/retries/budget.py
+++ b/thornshelf/retries/budget.py
@@ -1,7 +1,8 @@
 """Retry budgets, which limit retries to a fraction of first attempts, per service and for the fleet.
 
-Each budget is a token bucket. It has no effect while most attempts succeed. When most attempts fail, it keeps retries
-from taking the nodes' capacity away from first attempts.
+Each budget is a token bucket. It has no effect while most attempts succeed. When most attempts fail, every task would
+otherwise be attempted several times; the budget keeps these retries from taking the nodes' capacity away from first
+attempts.
 
 Tokens are counted in whole thousandths and time in whole microseconds, so that the arithmetic is exact. A clock that
 stands still, steps back or jumps ahead never adds more than a bucket's capacity.
--- a/thornshelf/wal/resolution.py
+++ b/thornshelf/wal/resolution.py
@@ -3,7 +3,7 @@
 In decreasing order of trust, the sources are
 
 1. a node's own answer about an idempotency key. "Never ran" counts only if the node's process is older than the
-   attempt, because a new process knows nothing of earlier runs;
+   attempt, because a new process knows nothing of earlier runs, and what the old process ran ended with it;
 2. a client that requests the adoption of a task and names its node, because it has received the node's description;
 3. the write-ahead log;
 4. the endpoint list: a task ended with the process that ran it, and on a node that is no longer listed.
