Crash the seed of ten members once what they know connects them all

test_ten_members_join_at_once_through_one_seed_that_then_crashes failed now and then: it killed the seed as soon as each member knew some other one.

Cause, traced: that holds too where the members know each other in groups that share no member. Such groups have no way to each other without the seed.

The test was wrong, not the protocol: its precondition did not say what its comment meant.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -140,13 +140,30 @@
     testbed.seeds = 1
     testbed.start(testbed.members[0])
     testbed.start(*testbed.members[1:])
-    # A member that knows only the seed cannot find the others once it has crashed, so each has to know another one.
-    wait_until(testbed, lambda: all(one.live_names - {"m00", one.name} for one in testbed.members[1:]))
+    # Groups that know of each other only through the seed cannot find each other once it has crashed. So the crash
+    # comes as soon as what the others know of each other connects all of them.
+    wait_until(testbed, lambda: are_connected(testbed.members[1:]))
     testbed.kill(testbed.members[0])
     wait_until(testbed, testbed.agreed)
     assert testbed.members[5].live_names == {f"m{index:02d}" for index in range(1, 11)}
 
 
+def are_connected(members: list[MemberProcess]) -> bool:
+    """Return whether all members can be reached from the first one through members that know each other."""
+    unreached = {one.name: one for one in members[1:]}
+    reached = [members[0]]
+    for one in reached:
+        found = [
+            other
+            for other in unreached.values()
+            if other.name in one.live_names or one.name in other.live_names
+        ]
+        reached += found
+        for other in found:
+            del unreached[other.name]
+    return not unreached
+
+
 def test_seeds_that_are_down_at_a_start_are_contacted_until_they_are_up(
     make_testbed: Callable[[int], FleetTestbed],
 ) -> None:
