--- a/thornshelf/lab/fakes/nodes.py
+++ b/thornshelf/lab/fakes/nodes.py
@@ -4,10 +4,11 @@
 
 import socket
 from collections.abc import Generator
-from dataclasses import dataclass, field
 from typing import Any
 
 from thornshelf.lab.fakes.behavior import BINARY, DESCRIPTION, GRPC2, HOST, NodeBehavior
+from thornshelf.lab.fakes.node_messages import NodeProfile as NodeProfile
+from thornshelf.lab.fakes.node_messages import ReceivedMessage as ReceivedMessage
 from thornshelf.loop import Loop, Stream, Wait
 from thornshelf.loop.loop import IN
 from thornshelf.wire import binary, grpc, http2
@@ -40,33 +41,6 @@
 }
 
 
-@dataclass(slots=True)
-class ReceivedMessage:
-    """A message from the dispatcher to a node; fields that the node's wire form lacks keep their defaults."""
-
-    kind: str  # ``offer``, ``release`` or ``question`` (whether a task with ``key`` runs or ran here)
-    uid: int
-    description: bytes = b""
-    key: int = 0
-    task_class: str = ""
-    hint_ms: float | None = None
-    assumed: bool = False  # the hint is the operator's, not the client's
-    at_most_once: bool = False  # the task must not be started twice
-    v2_offer: Any = None  # the whole v2 offer
-
-
-@dataclass(slots=True)
-class NodeProfile:
-    """How a v2 node describes itself to the dispatcher; a test may make it describe itself falsely."""
-
-    generation: int = 2
-    name: str = ""
-    requires: tuple[int, ...] = ()  # fields that every offer must have
-    claims_to_answer: bool = True  # that it answers queries about tasks
-    sends_hello: bool = True
-    false_answers: dict[int, int] = field(default_factory=dict)  # states, by idempotency key
-
-
 class FakeNode:
     """A node that records what it receives; ``form``: its wire form; ``address``: port 0 for any free port."""
 
--- a/thornshelf/nodes/node_connection.py
+++ b/thornshelf/nodes/node_connection.py
@@ -7,16 +7,15 @@
 
 from collections import deque
 from collections.abc import Generator
-from dataclasses import dataclass
 
 from thornshelf.core import Attempt, Dispatcher, HealthCheckCompleted, NodeEndpoint, TaskFinished
-from thornshelf.loop import Loop, Stream, Timer, Wait
+from thornshelf.loop import Loop, Stream, Wait
 from thornshelf.nodes.node_link import NodeLink
+from thornshelf.nodes.pending_requests import HealthCheck, PendingCancellation
 from thornshelf.nodes.reconnect import Reconnector
 from thornshelf.placement import LoadReport, Outcome, Reason
 from thornshelf.translation.failures import FailureCause
 from thornshelf.wire.errors import DisconnectReason
-from thornshelf.wire.pending_write import PendingWrite
 
 HEALTH_CHECK_TIMEOUT_US = 250_000
 # A cancellation is assumed to have arrived if it was sent this long ago and its link is still open.
@@ -26,30 +25,6 @@
 MIN_KEEPALIVE_S = 1.0
 
 
-@dataclass(eq=False, slots=True)
-class PendingCancellation:
-    """The cancellation of a running task whose end the node has not reported yet.
-
-    ``write``: the request as it was sent, or None before it is sent on a link. ``since_us``: when it was requested,
-    or last sent.
-    """
-
-    write: PendingWrite | None
-    since_us: int
-
-    def has_arrived(self, sent_before_us: int) -> bool:
-        """Return whether the request was completely sent before this time."""
-        return self.write is not None and self.write.fully_sent and self.since_us < sent_before_us
-
-
-@dataclass(eq=False, slots=True)
-class HealthCheck:
-    """A health check without a result so far: when it was started, and the timer of its timeout."""
-
-    started_us: int
-    timeout: Timer
-
-
 class BaseNodeConnection:
     """A node with at most one link at a time; subclasses choose the wire format in ``make_link``.
 
