Try a quiet connection with a message that has no price

Change: over binary messages a quiet connection is tried with the confirmation of a release that no task has. The protocol calls confirmations free; they have no answer, and a node that has forgotten the connection resets it all the same. Every 30 s it is a test as before, for connections that are never reset. gRPC's PING has no price, so it stays. As checks are free, they begin after 4 to 5 s of quiet, whatever keepalive-s is.

Tests: those of tests/test_quiet_connections.py, and one that binary tests are rarer than checks.

--- a/tests/test_quiet_connections.py
+++ b/tests/test_quiet_connections.py
@@ -22,10 +22,9 @@
 @pytest.fixture(autouse=True)
 def _short_intervals(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
     if "real_intervals" not in request.keywords:
-        monkeypatch.setattr(liveness, "QUIET_PING_INTERVAL_US", 60_000)
-        monkeypatch.setattr(liveness, "QUIET_PING_SPREAD_US", 0)
-        monkeypatch.setattr(node_connection, "MIN_KEEPALIVE_S", 0.0)
-        monkeypatch.setattr(node_connection, "IDLE_TIMEOUT_FRACTION", 0.005)  # of 30 s: 150 ms
+        monkeypatch.setattr(liveness, "QUIET_CHECK_INTERVAL_US", 60_000)
+        monkeypatch.setattr(liveness, "QUIET_CHECK_SPREAD_US", 0)
+        monkeypatch.setattr(liveness, "QUIET_PING_INTERVAL_US", 150_000)
         monkeypatch.setattr(liveness, "CHECK_INTERVAL_US", 5_000)
 
 
@@ -62,7 +61,7 @@
 
 @NODE_FORMATS
 @pytest.mark.parametrize("lifecycle", ["in_service", "terminating"])
-def test_a_connection_that_its_node_forgot_is_found_by_a_ping(node_format: str, lifecycle: str) -> None:
+def test_a_connection_that_its_node_forgot_is_found(node_format: str, lifecycle: str) -> None:
     """Guards against the end of a task that is never heard, because nothing is sent on a connection that is lost."""
     cluster = cluster_with_running_task(node_format, lifecycle)
     cluster.nodes[0].forgets_connections = True
@@ -82,40 +81,42 @@
 def test_a_quiet_connection_whose_pings_are_answered_is_kept(node_format: str) -> None:
     cluster = cluster_with_running_task(node_format)
     link: Any = cluster.service.core.endpoints.nodes[1].link  # type: ignore[attr-defined]
-    pings = count_pings(link)
+    pings = count_calls(link, "ping")
     cluster.run_until(lambda: len(pings) == 3)
     cluster.run_for(30)
     assert len(cluster.nodes[0].streams) == 1
     assert "node-disconnected" not in log_ids(cluster)
 
 
-def count_pings(link: Any) -> list[int]:
-    """Record the time of each ping on a link."""
+def count_calls(link: Any, method: str) -> list[int]:
+    """Record the time of each call of a link's method."""
     times: list[int] = []
-    send_ping = link.ping
+    send = getattr(link, method)
 
-    def ping() -> None:
+    def send_and_record() -> None:
         times.append(link.node.loop.now)
-        send_ping()
+        send()
 
-    link.ping = ping
+    setattr(link, method, send_and_record)
     return times
 
 
-def test_a_connection_is_not_pinged_while_no_task_runs_or_data_comes() -> None:
-    """Guards against the cost of pings that prove nothing: with many nodes most connections are idle or in use."""
+def test_a_connection_is_not_tried_while_no_task_runs_or_data_comes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the cost of checks that prove nothing: with many nodes most connections are idle or in use."""
+    monkeypatch.setattr(node_connection, "MIN_KEEPALIVE_S", 0.2)
+    monkeypatch.setattr(node_connection, "IDLE_TIMEOUT_FRACTION", 0.0)
     cluster = cluster_with_running_task()
     (node,) = cluster.nodes
     link: Any = cluster.service.core.endpoints.nodes[1].link  # type: ignore[attr-defined]
-    pings = count_pings(link)
+    pings, touches = count_calls(link, "ping"), count_calls(link, "touch")
     for _ in range(30):
         node.responders[-1].progress(UID)
         cluster.run_for(10)
-    assert not pings
+    assert not pings + touches
     node.responders[-1].end(UID, 16, pb.ENDED)
     cluster.wait_for_events(UID, 2)
     cluster.run_until(lambda: not link.stream.open)  # closed as idle
-    assert not pings
+    assert not pings + touches
 
 
 def test_a_task_handed_over_on_a_connection_that_was_forgotten_is_released() -> None:
@@ -173,22 +174,31 @@
 
 
 @pytest.mark.real_intervals
-def test_a_lost_connection_is_found_in_time_for_the_release() -> None:
+def test_a_forgotten_connection_is_found_in_time_for_the_release() -> None:
     """Guards against intervals that don't add up to the time in which a release is due, with one failed connect."""
-    connect_us = int(reconnect.DEFAULT_CONNECT_TIMEOUT_S * 1e6)
-    found_us = liveness.QUIET_PING_INTERVAL_US + liveness.MAX_UNANSWERED_CHECKS * liveness.CHECK_INTERVAL_US
-    reconnected_us = reconnect.FAST_RECONNECT_US + connect_us + reconnect.RECONNECT_BACKOFF_US
-    assert found_us + reconnected_us < RELEASE_DUE_US
+    found_us = liveness.QUIET_CHECK_INTERVAL_US + liveness.CHECK_INTERVAL_US
+    connect_us = int(reconnect.DEFAULT_CONNECT_TIMEOUT_S * 1e6) + reconnect.RECONNECT_BACKOFF_US
+    assert found_us + reconnect.FAST_RECONNECT_US + connect_us < RELEASE_DUE_US
+
+
+def test_binary_pings_are_rarer_than_checks() -> None:
+    """Guards against the price of probes: the message of most checks has none."""
+    cluster = cluster_with_running_task()
+    link: Any = cluster.service.core.endpoints.nodes[1].link  # type: ignore[attr-defined]
+    pings = count_calls(link, "ping")
+    touches = count_calls(link, "touch")
+    cluster.run_until(lambda: len(touches) == 6)
+    assert len(pings) == 2
 
 
 @pytest.mark.real_intervals
-def test_connections_that_become_quiet_together_are_not_pinged_together() -> None:
-    """Guards against a turn that sends a ping on each of 18,000 connections."""
+def test_connections_that_become_quiet_together_are_not_tried_together() -> None:
+    """Guards against a turn that sends a message on each of 18,000 connections."""
     due: list[int] = []
     loop = SimpleNamespace(now=0, call_at=lambda at_us, _: due.append(at_us))
     for machine in range(18_000):
-        node = SimpleNamespace(loop=loop, machine=machine, idle_timeout_us=lambda: 24_000_000)
+        node = SimpleNamespace(loop=loop, machine=machine)
         LivenessMonitor(SimpleNamespace(node=node)).watch_tasks()
     per_turn = Counter(due)
-    assert 23_000_000 <= min(due) <= max(due) <= 24_000_000
+    assert 4_000_000 <= min(due) <= max(due) <= 5_000_000
     assert max(per_turn.values()) <= 18_000 // 8  # of 10 checks in the second over which they are spread
--- a/thornshelf/lab/fakes/nodes.py
+++ b/thornshelf/lab/fakes/nodes.py
@@ -221,7 +221,7 @@
                 if message.type == binary.TEST:
                     values = {binary.CAUSE: b"\x01", binary.REPORT: b"x0:12;x1:40"}
                     stream.send(binary.encode(binary.TESTED, message.uid, values))
-                else:
+                elif message.type != binary.RELEASE_ACK:
                     kind = "offer" if message.type == binary.SET_UP else "release"
                     node.handle_message(
                         ReceivedMessage(
--- a/thornshelf/nodes/binary.py
+++ b/thornshelf/nodes/binary.py
@@ -92,6 +92,10 @@
         """Send a test with cause 0, which a node answers if it still reads from this connection."""
         self.stream.send(binary.encode(binary.TEST, PING_ID, {binary.CAUSE: b"\x00"}))
 
+    def touch(self) -> None:
+        """Send the confirmation of a release that no task has; nodes need no confirmations and ignore them."""
+        self.stream.send(binary.encode(binary.RELEASE_ACK, PING_ID))
+
     @property
     def mid_message(self) -> bool:
         """Whether a message was received in part."""
--- a/thornshelf/nodes/grpc.py
+++ b/thornshelf/nodes/grpc.py
@@ -49,6 +49,7 @@
 
     node: BaseNodeConnection
 
+    ping_is_free = True  # HTTP/2 answers it, not the node's program
     service = "/thornshelf.v1.Node/"
     report_type: type[Message] = pb.NodeReport
     load_type: type[Message] = pb.Load
@@ -116,6 +117,10 @@
         """Send an HTTP/2 PING frame."""
         self._http.ping()
 
+    def touch(self) -> None:
+        """Send an HTTP/2 PING frame, whose answer is not awaited."""
+        self._http.ping()
+
     @property
     def mid_message(self) -> bool:
         """Whether a frame or message was received in part."""
--- a/thornshelf/nodes/liveness.py
+++ b/thornshelf/nodes/liveness.py
@@ -15,13 +15,15 @@
 MAX_PARTIAL_CHECKS = 3  # the connection is closed if a message is still incomplete after this many checks
 CHECKS_BEFORE_PING = 4  # the peer is pinged after this many checks in a row without received data
 MAX_UNANSWERED_CHECKS = 12  # the connection is closed after this many checks in a row without received data
-# A connection to a node on which tasks run is pinged this often once it has been quiet for as long as an idle link
-# is kept. The release of a task that has ended is due within 8 s; an unanswered ping, reconnecting and one failed
-# connect take up to 2 s of that.
-QUIET_PING_INTERVAL_US = 5_000_000
-# Up to this much is deducted, by node, so that connections that became quiet together are not all pinged in one turn.
-QUIET_PING_SPREAD_US = 1_000_000
-QUIET_PING_PHASES = 997
+# A quiet connection to a node on which tasks run is tried this often: a node that has forgotten it resets it then.
+# The release of a task that has ended is due within 8 s; reconnecting and one failed connect take up to 1 s of that.
+QUIET_CHECK_INTERVAL_US = 5_000_000
+# Up to this much is deducted, by node, so that connections that became quiet together don't share a turn.
+QUIET_CHECK_SPREAD_US = 1_000_000
+QUIET_CHECK_PHASES = 997
+# A ping whose answer is awaited also finds a connection that is never reset. Where it has a price, it is rarer.
+QUIET_PING_INTERVAL_US = 30_000_000
+FORGOTTEN_RESET_US = 1_000_000  # a reset this soon after a check answers the check
 
 
 class LivenessMonitor:
@@ -43,6 +45,8 @@
         self._quiet_since_us = link.node.loop.now
         self._quiet_check_scheduled = False
         self._quiet_ping_sent = False  # a ping of the quiet connection has no answer yet
+        self._last_quiet_ping_us = link.node.loop.now
+        self._last_quiet_check_us: int | None = None  # None: data came after it
 
     def watch(self) -> None:
         """Start checking the connection; call this for each request that awaits a reply."""
@@ -51,14 +55,15 @@
             self._link.node.loop.call_later(CHECK_INTERVAL_US, self._check)
 
     def watch_tasks(self) -> None:
-        """Start pinging the connection when it is quiet; call this for each running task whose end is awaited."""
+        """Start trying the connection when it is quiet; call this for each running task whose end is awaited."""
         if not self._quiet_check_scheduled:
-            self._schedule_quiet_check(self._first_ping_us())
+            self._schedule_quiet_check(self._quiet_since_us + QUIET_CHECK_INTERVAL_US)
 
     @property
-    def quiet_ping_unanswered(self) -> bool:
-        """Whether a ping that was sent because the connection was quiet has no answer."""
-        return self._quiet_ping_sent
+    def was_just_tried(self) -> bool:
+        """Whether a reset of the connection now would answer a check of the quiet connection."""
+        checked_us = self._last_quiet_check_us
+        return checked_us is not None and self._link.node.loop.now - checked_us <= FORGOTTEN_RESET_US
 
     def bytes_received(self) -> None:
         """Record that the peer has sent data, which proves that it is alive."""
@@ -67,6 +72,7 @@
         if not self._quiet_ping_sent:
             self._quiet_since_us = self._link.node.loop.now
         self._quiet_ping_sent = False
+        self._last_quiet_check_us = None
 
     def message_begun(self) -> None:
         """Record that a new message has begun, whose end is expected."""
@@ -104,31 +110,36 @@
         else:
             self._link.close("no data received, not even an answer to a ping")
 
-    def _first_ping_us(self) -> int:
-        """Return when the connection is pinged first, if no data comes."""
-        return self._quiet_since_us + max(QUIET_PING_INTERVAL_US, self._link.node.idle_timeout_us())
-
     def _schedule_quiet_check(self, due_us: int) -> None:
         self._quiet_check_scheduled = True
         node = self._link.node
-        phase = node.machine % QUIET_PING_PHASES
-        due_us = max(node.loop.now, due_us - QUIET_PING_SPREAD_US * phase // QUIET_PING_PHASES)
-        # Rounded up, so that many connections share a turn: a turn for each would cost more than the pings.
+        phase = node.machine % QUIET_CHECK_PHASES
+        due_us = max(node.loop.now, due_us - QUIET_CHECK_SPREAD_US * phase // QUIET_CHECK_PHASES)
+        # Rounded up, so that many connections share a turn: a turn for each would cost more than the checks.
         node.loop.call_at(-(-due_us // CHECK_INTERVAL_US) * CHECK_INTERVAL_US, self._check_quiet)
 
     def _check_quiet(self) -> None:
         self._quiet_check_scheduled = False
         link = self._link
-        node = link.node
-        if not link.stream.open or not node.running:
+        now = link.node.loop.now
+        if not link.stream.open or not link.node.running:
             return
-        first_ping_us = self._first_ping_us()
-        if node.loop.now < first_ping_us - QUIET_PING_SPREAD_US:
-            self._schedule_quiet_check(first_ping_us)
+        if now - self._quiet_since_us < QUIET_CHECK_INTERVAL_US - QUIET_CHECK_SPREAD_US:
+            self._schedule_quiet_check(self._quiet_since_us + QUIET_CHECK_INTERVAL_US)
             return
         if not self._ping_sent:
-            self._ping_sent = True
-            self._quiet_ping_sent = True
-            link.ping()
-            self.watch()
-        self._schedule_quiet_check(node.loop.now + QUIET_PING_INTERVAL_US)
+            self._last_quiet_check_us = now
+            self._try_quiet_connection(now)
+        self._schedule_quiet_check(now + QUIET_CHECK_INTERVAL_US)
+
+    def _try_quiet_connection(self, now_us: int) -> None:
+        link = self._link
+        last_proof_us = max(self._quiet_since_us, self._last_quiet_ping_us)
+        if not link.ping_is_free and now_us - last_proof_us < QUIET_PING_INTERVAL_US:
+            link.touch()
+            return
+        self._last_quiet_ping_us = now_us
+        self._ping_sent = True
+        self._quiet_ping_sent = True
+        link.ping()
+        self.watch()
--- a/thornshelf/nodes/node_link.py
+++ b/thornshelf/nodes/node_link.py
@@ -21,7 +21,7 @@
 CLOSED_BY_PEER = DisconnectReason(
     DisconnectCause.CLOSED_BY_PEER, "connection ended by the node or the network"
 )
-FORGOTTEN = DisconnectReason.unusable("a quiet connection ended as it was pinged: the node had forgotten it")
+FORGOTTEN = DisconnectReason.unusable("a quiet connection ended as it was tried: the node had forgotten it")
 
 
 class NodeLink:
@@ -31,8 +31,11 @@
     finished on it, while new ones wait for the next link. ``handshake_complete``: False until the node's wire format
     is confirmed; no attempt may be sent before. ``messages_received``: how many complete messages have arrived.
     ``generation_rejected``: the node has answered that it does not support this generation of the wire format.
+    ``ping_is_free``: a ping has no price by the settings.
     """
 
+    ping_is_free = False
+
     def __init__(self, node: LinkOwner, stream: Stream) -> None:
         self.node = node
         self.stream = stream
@@ -81,6 +84,10 @@
         """Send a message that a live node always answers."""
         raise NotImplementedError
 
+    def touch(self) -> None:
+        """Send a message without an answer or a price; a node that has forgotten the connection resets it."""
+        raise NotImplementedError
+
     @property
     def mid_message(self) -> bool:
         """Whether a message was received in part."""
@@ -129,9 +136,9 @@
     def _end_reason(self) -> DisconnectReason:
         """Return why the connection has ended.
 
-        An end that answers a ping on a quiet connection doesn't show that the node's process has died.
+        An end that answers a check of a quiet connection doesn't show that the node's process has died.
         """
-        if self._close_reason is CLOSED_BY_PEER and self.liveness.quiet_ping_unanswered:
+        if self._close_reason is CLOSED_BY_PEER and self.liveness.was_just_tried:
             return FORGOTTEN
         return self._close_reason
 
--- a/thornshelf/nodes/ports.py
+++ b/thornshelf/nodes/ports.py
@@ -55,9 +55,16 @@
     def mid_message(self) -> bool:
         """Whether a message was received in part."""
 
+    @property
+    def ping_is_free(self) -> bool:
+        """Whether a ping has no price by the settings."""
+
     def ping(self) -> None:
         """Send a message that a live node always answers."""
 
+    def touch(self) -> None:
+        """Send a message without an answer and without a price."""
+
     def close(self, reason: str) -> None:
         """Close the link as unusable; the attempts in flight on it end."""
 
