Keep the files' shape out of the settings table, and let a successor fail itself

The table hides the field, as it is no setting; the comments are shorter; and SIGUSR2 is refused only for files that a successor would accept although they lack a key in force. No test is changed.

--- a/thornshelf/control/settings_table.py
+++ b/thornshelf/control/settings_table.py
@@ -10,6 +10,7 @@
 from thornshelf.control.tables import TEXT, Table, Value, declare_columns
 
 SECRET_FIELDS = frozenset({"key"})  # the key that authenticates the fleet's datagrams
+HIDDEN_FIELDS = SECRET_FIELDS | {"file_shape"}  # the keys of the files, which are not settings
 HIDDEN_PREFIX = "known."  # the initial endpoints, which are not settings
 
 
@@ -22,7 +23,7 @@
     if is_dataclass(value) and not isinstance(value, type):
         shown_names = SETTING_NAMES.get(type(value).__name__, {})
         for field in fields(value):
-            if field.name not in SECRET_FIELDS:
+            if field.name not in HIDDEN_FIELDS:
                 key = _join(path, shown_names.get(field.name, field.name))
                 yield from flatten_settings(getattr(value, field.name), key)
     elif isinstance(value, Mapping):
--- a/thornshelf/placement/placer.py
+++ b/thornshelf/placement/placer.py
@@ -144,7 +144,7 @@
         return self.slow_start.attempts_per_window
 
     def is_warming_up(self, machine: Machine) -> bool:
-        """Return whether the machine is in slow start: it may not run at full speed so soon after its start."""
+        """Return whether the machine is in slow start, when it may not run at full speed yet."""
         return self.slow_start.is_warming_up(machine)
 
     def set_quota(
--- a/thornshelf/placement/slow_start.py
+++ b/thornshelf/placement/slow_start.py
@@ -34,7 +34,7 @@
         self.machines = [machine for machine in machines if self.is_warming_up(machine)]
 
     def is_warming_up(self, machine: Machine) -> bool:
-        """Return whether the machine is in slow start: it may not run at full speed so soon after its start."""
+        """Return whether the machine is in slow start, when it may not run at full speed yet."""
         started_at = machine.started_at
         return started_at > 0.0 and self._context.now < started_at + self._context.settings.rules.slow_start_s
 
--- a/thornshelf/placement/usage.py
+++ b/thornshelf/placement/usage.py
@@ -106,8 +106,8 @@
     def update_averages(self, machines: Sequence[Machine], reporting_peers: Collection[int]) -> None:
         """Recompute the fleet's mean utilization from load reports and from known demand.
 
-        The demand of own and peers' tasks, scaled up to all placers, counts as much as one machine's report: with
-        many placers, own tasks on a machine say little about its usage.
+        The demand of own and peers' tasks, scaled up to all placers, counts as much as one machine's report.
+        With many placers, own tasks on a machine say little about its usage.
         """
         reporting_placers = 1 + len(reporting_peers)
         known_fraction = reporting_placers / max(1, self._context.settings.placers, reporting_placers)
--- a/thornshelf/service.py
+++ b/thornshelf/service.py
@@ -324,15 +324,26 @@
         """
         if self._shutting_down or self._handing_over:
             return
-        try:
-            if self._reread is not None:
-                self.config.reloaded(self._reread())
-        except ConfigError as error:
+        if (error := self._missing_key()) is not None:
             self.log(3, "successor-failed", {"kept": "old", "code": error.code}, str(error))
             return
         self._handing_over = True
         self.loop.spawn(self._hand_over())
 
+    def _missing_key(self) -> ConfigError | None:
+        """Return the error of files that a successor would accept, though they lack a key in force."""
+        if self._reread is None:
+            return None
+        try:
+            new_config = self._reread()
+        except ConfigError:
+            return None  # a successor fails on them by itself
+        try:
+            self.config.reloaded(new_config)
+        except ConfigError as error:
+            return error
+        return None
+
     def _hand_over(self) -> Generator[Wait, int, None]:
         from thornshelf.lifecycle import graceful_restart
 
