--- a/tests/test_quiet_connections.py
+++ b/tests/test_quiet_connections.py
@@ -181,6 +181,18 @@
     assert found_us + reconnect.FAST_RECONNECT_US + connect_us < RELEASE_DUE_US
 
 
+@pytest.mark.real_intervals
+@NODE_FORMATS
+def test_a_silent_connection_is_found_in_time_for_the_release(node_format: str) -> None:
+    """Guards against the same where the connection is not even reset, so that only a missing answer shows it."""
+    cluster = cluster_with_running_task(node_format)
+    link: Any = cluster.service.core.endpoints.nodes[1].link  # type: ignore[attr-defined]
+    ping_us = liveness.QUIET_CHECK_INTERVAL_US if link.ping_is_free else liveness.QUIET_PING_INTERVAL_US
+    found_us = ping_us + liveness.MAX_UNANSWERED_CHECKS * liveness.CHECK_INTERVAL_US
+    connect_us = int(reconnect.DEFAULT_CONNECT_TIMEOUT_S * 1e6) + reconnect.RECONNECT_BACKOFF_US
+    assert found_us + reconnect.FAST_RECONNECT_US + connect_us < RELEASE_DUE_US
+
+
 def test_binary_pings_are_rarer_than_checks() -> None:
     """Guards against the price of probes: the message of most checks has none."""
     cluster = cluster_with_running_task()
