Review: end the dispatcher of a case when its script is told to end

Need: a script that is ended by SIGTERM or SIGHUP left its dispatcher running. Change: review/rig.py ends the run, and with it the processes, on both signals.

--- a/review/rig.py
+++ b/review/rig.py
@@ -300,6 +300,8 @@
     """Run a case and exit with its result."""
     record = Record(folder / "record.txt")
     code = 2
+    for number in (signal.SIGTERM, signal.SIGHUP):  # so that the dispatcher is ended with the script
+        signal.signal(number, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as temporary:
         rig = Rig(Path(temporary), record)
         record(f"case {folder.name}, {'with' if rig.trouble else 'without'} the disruption")
