Keep a release for its owner, and never send it to another tenant's client

Cause: ReleaseNotifier knew an owner by its host alone, and for 0.3 s only (ANY_CLIENT_AFTER_US). Then any connection would do, and sending on it counted as the owner's receipt. By the same rule a client of another tenant on the owner's host got the release at once, and could take over (`at`) a task whose owner was away.

Change: an owner is a host and a tenant. A release waits for a connection of its owner, 60 s and 16,384 at most. For owners that come from elsewhere or never again, a copy goes out after 0.3 s on a connection of the same tenant, else on one of the host that has requested nothing; none goes to a connection of other tenants. A request with `at` that names a task whose release is pending gets the release (it was adopted again, and stood for ever). Releases are typed (Release, TaskOwner) in place of tuples and four arguments.

Changed tests: in test_bad_clients the requester that may get the release of an owner that is away names the owner's tenant now, as another tenant's must not get it; the check itself is the same. Two tests build a Release where they passed its fields, and one looks at both tables of tenants where it looked at one of clients.

--- a/tests/golden/fleet.py
+++ b/tests/golden/fleet.py
@@ -16,6 +16,7 @@
 from thornshelf.core import Dispatcher, EndpointListUpdate, NodeEndpoint, TaskRequest
 from thornshelf.core.releases import DisconnectedClient
 from thornshelf.core.state_transfer import export_state, import_record
+from thornshelf.core.task_release import Release, TaskOwner
 from thornshelf.lab.fakes.cluster import EXAMPLE_CONFIG
 from thornshelf.lab.membership import SECOND, Network
 from thornshelf.lab.scale.quantities import IdleNode
@@ -234,7 +235,7 @@
     core = make_core()
     (line,) = decode_handover(data)
     assert import_record(core, line)
-    return [release[1:] for release in core.releases.pending]
+    return [pending.release for pending in core.releases.pending]
 
 
 def running_task_sample(name: str, request: TaskRequest, node_uid: int) -> Sample:
@@ -246,14 +247,16 @@
     return Sample(name, encode, import_task, task_fields(request, node_uid))
 
 
-def release_sample(outcome: Outcome, reason: Reason) -> Sample:
+def release_sample(outcome: Outcome, reason: Reason, tenant: str | None = None) -> Sample:
+    release = Release(TASK_UID, TaskOwner("10.1.0.1", tenant), outcome, reason)
+
     def encode() -> bytes:
         core = make_core()
-        core.releases.notify(DisconnectedClient(peer="10.1.0.1"), TASK_UID, outcome, reason, None)
+        core.releases.notify(DisconnectedClient(peer="10.1.0.1"), release)
         return encode_handover(core).removesuffix(b"done\n")
 
-    name = f"owed-{outcome.value}-{reason.value}".replace(" ", "-")
-    return Sample(name, encode, import_releases, [("10.1.0.1", TASK_UID, outcome, reason, None)])
+    name = f"owed-{outcome.value}-{reason.value}".replace(" ", "-") + ("-tenant" if tenant else "")
+    return Sample(name, encode, import_releases, [release])
 
 
 HANDOVER = Format(
@@ -263,6 +266,7 @@
         running_task_sample("standing-without-tenant-and-hint", minimal_request(5), 5),
         *(release_sample(outcome, Reason.UNSPECIFIED) for outcome in Outcome),
         *(release_sample(Outcome.BROKEN, reason) for reason in Reason if reason is not Reason.UNSPECIFIED),
+        release_sample(Outcome.OK, Reason.UNSPECIFIED, "hollis-county"),
         Sample("end", lambda: encode_handover(make_core())),
     ],
     binary=False,
--- a/tests/golden/wires.py
+++ b/tests/golden/wires.py
@@ -24,6 +24,7 @@
     TaskStarted,
     TaskStatusReply,
 )
+from thornshelf.core.task_release import Release, TaskOwner
 from thornshelf.frontends.grpc_connection import GrpcConnection
 from thornshelf.frontends.grpc_messages import GrpcCodecV1, GrpcCodecV2
 from thornshelf.frontends.grpc_streams import DispatchCall
@@ -87,7 +88,9 @@
 def release_sample(outcome: Outcome, reason: int) -> Sample:
     return answer_sample(
         f"release-{outcome.value}".replace(" ", "-"),
-        lambda client: client.send_release(TASK_UID, outcome, Reason.EVICTED),
+        lambda client: client.send_release(
+            Release(TASK_UID, TaskOwner("10.1.0.1", None), outcome, Reason.EVICTED)
+        ),
         jsonl.Line(kind="stop", uid=TASK_UID, meta={}, reason=reason),
     )
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from thornshelf.core import TaskFinished, deadlines, releases, running_tasks
+from thornshelf.core import Release, TaskFinished, TaskOwner, deadlines, releases, running_tasks
 from thornshelf.frontends import grpc as grpc_front
 from thornshelf.frontends import json_lines
 from thornshelf.lab.fakes.cluster import (
@@ -183,7 +183,7 @@
     cluster.wait_for_events(5)
     # One of the idle connections comes from the client's own host.
     requester, silent = connect_raw(cluster, JSON, "127.0.0.2"), connect_raw(cluster, JSON, "127.0.0.1")
-    meta = {"class": "lookup", "left": 8000, "extras": "cores:1;memory:2"}
+    meta = {"class": "lookup", "left": 8000, "tenant": "hollis-county", "extras": "cores:1;memory:2"}
     line = {"kind": "launch", "uid": f"{6:016x}", "meta": meta, "body": NodeBehavior.RUN.value.decode()}
     requester.sendall(json.dumps(line).encode() + b"\n")
     cluster.run_until(lambda: 6 in cluster.nodes[0].running)
@@ -285,8 +285,9 @@
     cluster.run_for(10)
     for uid in (5, 6):
         cluster.run_for(40)
-        core.answers.send_release(owner, uid, Outcome.OK, Reason.UNSPECIFIED, None)
-    assert [entry[2] for entry in core.releases._pending] == [6]
+        release = Release(uid, TaskOwner(owner.peer, None), Outcome.OK, Reason.UNSPECIFIED)
+        core.answers.send_release(owner, release)
+    assert [pending.release.uid for pending in core.releases.pending] == [6]
     assert cluster.logged[-1][1] == "release-dropped"
 
 
@@ -331,7 +332,7 @@
         endpoints.entries,
         endpoints.nodes,
     )
-    tables += (release_queue._placed_clients, release_queue._pending)
+    tables += (release_queue._placed_tenants, release_queue._requesting_tenants, release_queue._pending)
     assert [len(table) for table in tables] == [0] * len(tables)
     assert cluster.service.connection_budget.client_count == 1
     assert not core.placer.requests
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -18,6 +18,7 @@
 )
 from thornshelf.core.messages import NodeLost
 from thornshelf.core.task import AttemptTimedOut, TaskState
+from thornshelf.core.task_release import Release
 from thornshelf.loop import Loop, Wait
 from thornshelf.placement import Health, Outcome
 
@@ -60,8 +61,8 @@
     def send_failed(self, uid: int, detail: Any = None) -> None:
         self.answers.append(("failed", uid, None))
 
-    def send_release(self, uid: int, outcome: Outcome, reason: Any, detail: Any = None) -> None:
-        self.answers.append(("released", uid, None))
+    def send_release(self, release: Release) -> None:
+        self.answers.append(("released", release.uid, None))
 
     def send_running(self, uid: int, description: bytes, metadata: Any = None) -> None:
         self.answers.append(("running", uid, None))
--- a/thornshelf/control/core_tables.py
+++ b/thornshelf/control/core_tables.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any
 
 from thornshelf.control.history import ErrorCounters, History, TaskEvent
 from thornshelf.control.node_table import NodeTable, node_name
@@ -12,6 +11,7 @@
 from thornshelf.control.tables import INTEGER, TEXT, Table, Value, declare_columns, to_milliseconds
 from thornshelf.control.task_tables import TaskTables
 from thornshelf.core import Dispatcher
+from thornshelf.core.pending_releases import PendingRelease
 from thornshelf.errors import ERRORS_BY_CODE
 
 
@@ -59,10 +59,11 @@
         return core.counters | current
 
     def _releases_table(self) -> Table:
-        def row(pending: Any) -> Sequence[Value]:
-            since_us, client_host, uid, outcome, reason, _ = pending
-            pending_ms = to_milliseconds(self._core.loop.now - since_us)
-            return f"{uid:016x}", client_host, state_name(outcome), state_name(reason), pending_ms
+        def row(pending: PendingRelease) -> Sequence[Value]:
+            release = pending.release
+            pending_ms = to_milliseconds(self._core.loop.now - pending.since_us)
+            outcome, reason = state_name(release.outcome), state_name(release.reason)
+            return f"{release.uid:016x}", release.owner.host, outcome, reason, pending_ms
 
         return Table(
             "releases",
--- a/thornshelf/core/__init__.py
+++ b/thornshelf/core/__init__.py
@@ -19,6 +19,7 @@
     TaskStatusReply,
 )
 from thornshelf.core.ports import LogFunction, NodeConnection
+from thornshelf.core.task_release import Release, TaskOwner
 
 __all__ = [
     "AnswerMetadata",
@@ -35,7 +36,9 @@
     "NodeConnection",
     "NodeEndpoint",
     "NodeLost",
+    "Release",
     "TaskFinished",
+    "TaskOwner",
     "TaskProgress",
     "TaskRequest",
     "TaskStarted",
--- a/thornshelf/core/answers.py
+++ b/thornshelf/core/answers.py
@@ -7,7 +7,7 @@
 
 from thornshelf.core.client_connection import AnswerMetadata, ClientConnection
 from thornshelf.core.task import TaskRecord, TaskState
-from thornshelf.placement import Outcome, Reason
+from thornshelf.core.task_release import Release
 from thornshelf.translation.failures import FailureCause
 
 if TYPE_CHECKING:
@@ -56,7 +56,7 @@
                 self.counters["answered"] += 1
                 self._core.record_event(task, uid, "answered", task.machine)
                 client.send_running(uid, task.node_description or b"", metadata)
-                self._core.releases.task_placed(client)
+                self._core.releases.task_placed(client, task.request.tenant)
 
     def close(self, task: TaskRecord) -> None:
         """Mark a task as answered and take it off the queue; its requests are no longer open."""
@@ -77,17 +77,10 @@
             self.counters["given_up"] += 1
         self._core.tasks.unindex(task, uid)
 
-    def send_release(
-        self,
-        client: ClientConnection,
-        uid: int,
-        outcome: Outcome,
-        reason: Reason,
-        detail: FailureCause | None,
-    ) -> None:
-        """Notify a client, or another trusted one if it is disconnected, that a running task has ended."""
+    def send_release(self, client: ClientConnection, release: Release) -> None:
+        """Notify a client, or its owner's other connections if it is disconnected, that a running task has ended."""
         self.counters["released"] += 1
-        self._core.releases.notify(client, uid, outcome, reason, detail)
+        self._core.releases.notify(client, release)
 
     def _record_answer(
         self,
--- a/thornshelf/core/client_connection.py
+++ b/thornshelf/core/client_connection.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from thornshelf.placement import Outcome, Reason
+from thornshelf.core.task_release import Release
 from thornshelf.translation.failures import FailureCause, WireFormat
 from thornshelf.translation.missing_fields import LifetimeHint
 
@@ -59,9 +59,7 @@
     def reject_duplicate(self, uid: int) -> None:
         """Handle a second open request under the same id as the wire format prescribes: end the connection."""
 
-    def send_release(
-        self, uid: int, outcome: Outcome, reason: Reason, detail: FailureCause | None = None
-    ) -> None:
+    def send_release(self, release: Release) -> None:
         """Notify the client that a running task has ended."""
 
     def send_migrate(self, uid: int) -> None:
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -115,7 +115,7 @@
         self.deadlines = Deadlines(self)
         self.requests = Requests(self)
         self.running_tasks = RunningTasks(self)
-        self.releases = ReleaseNotifier(loop, log)
+        self.releases = ReleaseNotifier(loop, log, [tenant.name for tenant in settings.tenants])
         self.scheduler = RequestScheduler(self, queue, jitter)
         self.endpoints = self._make_registry(make_node)
         self.idempotency = self._make_idempotency_table()
--- a/thornshelf/core/messages.py
+++ b/thornshelf/core/messages.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from thornshelf.core.client_connection import AnswerMetadata, ClientConnection
+from thornshelf.core.task_release import Release
 from thornshelf.placement import Health, LoadReport, Outcome, Reason, TaskUpdateKind
 from thornshelf.translation.capabilities import NodeCapabilities
 from thornshelf.translation.failures import FailureCause, WireFormat
@@ -85,11 +86,11 @@
 class ClientDisconnected:
     """A client's connection was closed, which cancels its open requests.
 
-    ``pending_releases`` lists the unsent releases, each as task id, outcome, reason and detail.
+    ``pending_releases`` lists the releases that may not have reached it.
     """
 
     client: ClientConnection
-    pending_releases: Sequence[tuple[int, Outcome, Reason, FailureCause | None]] = ()
+    pending_releases: Sequence[Release] = ()
 
 
 # from nodes
--- a/thornshelf/core/parts.py
+++ b/thornshelf/core/parts.py
@@ -20,9 +20,10 @@
 from thornshelf.core.ports import Gossip, LogFunction, RequestQueue
 from thornshelf.core.releases import ReleaseNotifier
 from thornshelf.core.task import AttemptTimedOut, TaskRecord
+from thornshelf.core.task_release import Release
 from thornshelf.core.task_table import TaskTable
 from thornshelf.loop import Loop
-from thornshelf.placement import Outcome, Reason, Settings, TaskClass
+from thornshelf.placement import Outcome, Settings, TaskClass
 from thornshelf.translation.failures import FailureCause, FailureReason
 from thornshelf.translation.translator import Translator
 
@@ -52,14 +53,7 @@
     def unsubscribe(self, task: TaskRecord, uid: int) -> None:
         """Remove one of several subscribers of a task."""
 
-    def send_release(
-        self,
-        client: ClientConnection,
-        uid: int,
-        outcome: Outcome,
-        reason: Reason,
-        detail: FailureCause | None,
-    ) -> None:
+    def send_release(self, client: ClientConnection, release: Release) -> None:
         """Notify a client that a running task is over."""
 
 
--- a/thornshelf/core/releases.py
+++ b/thornshelf/core/releases.py
@@ -1,33 +1,25 @@
 """Sends releases: notifications to clients that a running task has ended.
 
 Running tasks outlive connections, and a release is due within 1 s. It goes to the connection that requested the task,
-otherwise to another connection from the same host, and after ``ANY_CLIENT_AFTER_US`` to any trusted connection.
+otherwise to another connection of the owner: one from the same host on which a task of the same tenant was placed.
+If the owner has none, the release is kept until it comes back. Meanwhile a copy is sent on the connection that most
+likely belongs to the owner, but never on one that is known to belong to other tenants only.
 """
 
 from __future__ import annotations
 
-from collections import deque
-from typing import Any, NamedTuple
+from collections.abc import Collection
 
 from thornshelf.core.client_connection import AnswerMetadata, ClientConnection
+from thornshelf.core.pending_releases import OwnerMatch, PendingRelease, PendingReleases
 from thornshelf.core.ports import LogFunction
+from thornshelf.core.task_release import Release, TaskOwner
 from thornshelf.loop import Loop
-from thornshelf.placement import Outcome, Reason
 from thornshelf.translation.failures import FailureCause, WireFormat
 
-ANY_CLIENT_AFTER_US = 300_000  # wait for the task's own client before any trusted connection is used
+COPY_AFTER_US = 300_000  # wait for the owner's own connection before a copy is sent on another one
 PENDING_TTL_US = 60_000_000  # pending releases are dropped after this time
-
-
-class PendingRelease(NamedTuple):
-    """A release that has waited for a connection since ``since_us``; ``peer`` is the host of the task's client."""
-
-    since_us: int
-    peer: str
-    uid: int
-    outcome: Outcome
-    reason: Reason
-    cause: FailureCause | None
+MAX_PENDING_RELEASES = 16_384  # beyond it, the oldest is dropped
 
 
 class DisconnectedClient:
@@ -59,9 +51,7 @@
     def reject_duplicate(self, uid: int) -> None:
         """Do nothing: no request comes on this connection."""
 
-    def send_release(
-        self, uid: int, outcome: Outcome, reason: Reason, detail: FailureCause | None = None
-    ) -> None:
+    def send_release(self, release: Release) -> None:
         """Do nothing: releases go to open connections, so this is never called."""
 
     def send_migrate(self, uid: int) -> None:
@@ -72,129 +62,164 @@
 
 
 class ReleaseNotifier:
-    """Tracks open client connections, and keeps releases until a connection can take them.
+    """Tracks open client connections, and keeps releases until their owners have received them.
 
+    ``tenants`` are those that the settings define; owners are not distinguished by any other tenant.
     ``open_requests`` holds, for each open connection, the ids of its requests that have no answer yet.
     """
 
-    def __init__(self, loop: Loop, log: LogFunction) -> None:
+    def __init__(self, loop: Loop, log: LogFunction, tenants: Collection[str] = ()) -> None:
         self.loop = loop
         self.log = log
+        self._tenants = frozenset(tenants)
         self.open_requests: dict[ClientConnection, set[int]] = {}
-        self._placed_clients: dict[ClientConnection, None] = {}  # have had a task placed; latest last
-        self._requesting_clients: dict[ClientConnection, None] = {}  # have requested a task; latest last
-        self._pending: deque[PendingRelease] = deque()
+        # For each connection, the tenants for which a task was placed or requested on it; the latest connection last.
+        self._placed_tenants: dict[ClientConnection, set[str | None]] = {}
+        self._requesting_tenants: dict[ClientConnection, set[str | None]] = {}
+        self._pending = PendingReleases()
 
     @property
     def pending(self) -> tuple[PendingRelease, ...]:
-        """The releases that wait for a connection, oldest first."""
+        """The releases that wait for their owners, oldest first."""
         return tuple(self._pending)
 
+    def owner_of(self, client: ClientConnection, tenant: str | None) -> TaskOwner:
+        """Return the owner of a task that was requested on this connection for this tenant."""
+        return TaskOwner(client.peer, self._known_tenant(tenant))
+
     def client_connected(self, client: ClientConnection) -> None:
-        """Add a new client connection, and send it any pending releases that it can take."""
+        """Add a new client connection, and send copies of releases for which no other connection is open."""
         self.open_requests.setdefault(client, set())
-        self.send_pending()
+        for pending in self._pending.unsent_for_host(client.peer):
+            self._offer(pending, client)
 
     def client_disconnected(self, client: ClientConnection) -> list[int]:
         """Remove a closed client connection; return the ids of its open requests in ascending order."""
-        self._placed_clients.pop(client, None)
-        self._requesting_clients.pop(client, None)
+        self._placed_tenants.pop(client, None)
+        self._requesting_tenants.pop(client, None)
         return sorted(self.open_requests.pop(client, ()))
 
-    def request_received(self, client: ClientConnection) -> None:
-        """Record that a client has requested a task."""
-        self._mark_active(client, self._requesting_clients)
+    def request_received(self, client: ClientConnection, tenant: str | None) -> None:
+        """Record that a client has requested a task for a tenant."""
+        self._add_tenant(self._requesting_tenants, client, tenant)
 
     def request_answered(self, client: ClientConnection, uid: int) -> None:
         """Record that a request is no longer open."""
         if (requests := self.open_requests.get(client)) is not None:
             requests.discard(uid)
 
-    def task_placed(self, client: ClientConnection) -> None:
-        """Record that a task was placed for a client."""
-        self._mark_active(client, self._placed_clients)
-
-    def notify(
-        self,
-        client: ClientConnection,
-        uid: int,
-        outcome: Outcome,
-        reason: Reason,
-        cause: FailureCause | None,
-    ) -> None:
-        """Send a release on the task's own connection, or keep it until another connection can take it."""
+    def task_placed(self, client: ClientConnection, tenant: str | None) -> None:
+        """Record that a task was placed for a client and its tenant."""
+        self._add_tenant(self._placed_tenants, client, tenant)
+
+    def notify(self, client: ClientConnection, release: Release) -> None:
+        """Send a release on the task's own connection, or keep it until its owner can receive it."""
         if client in self.open_requests and client.is_connected:
-            client.send_release(uid, outcome, reason, cause)
+            client.send_release(release)
+        else:
+            self.add_pending(release)
+
+    def add_pending(self, release: Release) -> None:
+        """Keep a release until its owner can receive it."""
+        pending = PendingRelease(release, self.loop.now)
+        if (owner := self._latest_client(pending, OwnerMatch.OWNER_PLACED)) is not None:
+            owner.send_release(release)
             return
-        self._pending.append(PendingRelease(self.loop.now, client.peer, uid, outcome, reason, cause))
+        self._pending.add(pending)
         self._drop_expired()
-        self._schedule()
-
-    def add_pending(self, peer: str, uid: int, outcome: Outcome, reason: Reason) -> None:
-        """Take over a pending release from a predecessor."""
-        self._pending.append(PendingRelease(self.loop.now, peer, uid, outcome, reason, None))
-        self._schedule()
+        self.loop.call_later(COPY_AFTER_US, lambda: self._send_copy(pending))
+
+    def claim(self, client: ClientConnection, tenant: str | None, uid: int) -> bool:
+        """Send the pending release of a task that its owner names; return whether there was one."""
+        pending = self._pending.find(self.owner_of(client, tenant), uid)
+        if pending is None:
+            return False
+        self._pending.remove(pending)
+        if pending.sent_to is not client:
+            client.send_release(pending.release)
+        return True
 
     def take_pending(self) -> tuple[PendingRelease, ...]:
         """Remove and return all pending releases, for the handover to a successor."""
         pending = self.pending
-        self._pending.clear()
+        self._pending = PendingReleases()
         return pending
 
-    def send_pending(self) -> None:
-        """Send the pending releases for which a connection is available now."""
-        for _ in range(len(self._pending)):
-            release = self._pending.popleft()
-            any_client = self.loop.now >= release.since_us + ANY_CLIENT_AFTER_US
-            client = self._find_recipient(release.peer, any_client)
-            if client is not None:
-                client.send_release(release.uid, release.outcome, release.reason, release.cause)
-            else:
-                self._pending.append(release)
-
-    def _schedule(self) -> None:
-        """Try to send pending releases now, and again when any trusted connection may take them."""
-        self.send_pending()
-        self.loop.call_later(ANY_CLIENT_AFTER_US, self.send_pending)
+    def _add_tenant(
+        self, tenants: dict[ClientConnection, set[str | None]], client: ClientConnection, tenant: str | None
+    ) -> None:
+        """Move a connection to the end of a table; if the tenant is new there, offer it the tenant's releases."""
+        if client not in self.open_requests or not client.accepts_any_release:
+            return
+        tenant = self._known_tenant(tenant)
+        known = tenants.pop(client, set())
+        tenants[client] = known
+        if tenant in known:
+            return
+        known.add(tenant)
+        for pending in self._pending.of_owner(TaskOwner(client.peer, tenant)):
+            self._offer(pending, client)
+        for pending in self._pending.unsent_for_tenant(tenant):
+            self._offer(pending, client)
+
+    def _known_tenant(self, tenant: str | None) -> str | None:
+        return tenant if tenant in self._tenants else None
+
+    def _send_copy(self, pending: PendingRelease) -> None:
+        """Send a release that still waits on the connection that most likely belongs to its owner."""
+        if pending not in self._pending or pending.match is not OwnerMatch.NONE:
+            return
+        for match in sorted(OwnerMatch, reverse=True):
+            if match is not OwnerMatch.NONE and (client := self._latest_client(pending, match)) is not None:
+                self._offer(pending, client)
+                return
+
+    def _offer(self, pending: PendingRelease, client: ClientConnection) -> None:
+        """Send a release on a connection that more likely belongs to its owner than those it was sent on before."""
+        match = self._match(pending, client)
+        is_owner = match is OwnerMatch.OWNER_PLACED
+        is_due = self.loop.now >= pending.since_us + COPY_AFTER_US
+        if not is_owner and (match <= pending.match or not is_due):
+            return
+        was_sent_here = pending.sent_to is client
+        if is_owner:
+            self._pending.remove(pending)
+        else:
+            self._pending.record_sent(pending, client, match)
+        if not was_sent_here:
+            client.send_release(pending.release)
+
+    def _match(self, pending: PendingRelease, client: ClientConnection) -> OwnerMatch:
+        """Return how surely a connection belongs to the owner of a pending release."""
+        if not client.accepts_any_release or not client.is_connected:
+            return OwnerMatch.NONE
+        owner = pending.release.owner
+        same_host = client.peer == owner.host
+        if owner.tenant in self._placed_tenants.get(client, ()):
+            return OwnerMatch.OWNER_PLACED if same_host else OwnerMatch.TENANT_PLACED
+        requested = self._requesting_tenants.get(client, ())
+        if owner.tenant in requested:
+            return OwnerMatch.OWNER_REQUESTED if same_host else OwnerMatch.TENANT_REQUESTED
+        return OwnerMatch.SAME_HOST if same_host and not requested else OwnerMatch.NONE
+
+    def _latest_client(self, pending: PendingRelease, match: OwnerMatch) -> ClientConnection | None:
+        """Return the latest connection that matches the owner of a release to this degree, or None."""
+        clients: dict[ClientConnection, set[int]] | dict[ClientConnection, set[str | None]]
+        clients = self.open_requests if match is OwnerMatch.SAME_HOST else self._requesting_tenants
+        matching = (client for client in reversed(clients) if self._match(pending, client) is match)
+        return next(matching, None)
 
     def _drop_expired(self) -> None:
-        while self._pending[0].since_us < self.loop.now - PENDING_TTL_US:
-            release = self._pending.popleft()
-            self.log(
-                4,
-                "release-dropped",
-                {"uid": f"{release.uid:016x}"},
-                "no client that could receive the release connected in time",
-            )
-
-    def _find_recipient(self, peer: str, any_client: bool) -> ClientConnection | None:
-        """Return the connection that receives a release for the host ``peer``, or None.
-
-        It is the latest connection from that host for which a task was placed. With ``any_client`` the host does not
-        matter: it is the latest connection for which a task was placed, else the latest that requested a task, else
-        the latest from the host ``peer``.
-
-        Connections that never requested a task come last, because misbehaving clients on the same hosts open
-        connections too, and a release that is sent to them is lost.
-        """
-        if not any_client:
-            return _latest(self._placed_clients, peer)
-        for clients in (self._placed_clients, self._requesting_clients):
-            if (client := _latest(clients)) is not None:
-                return client
-        return _latest(self.open_requests, peer)
-
-    def _mark_active(self, client: ClientConnection, clients: dict[ClientConnection, None]) -> None:
-        """Move a connection to the end of a table, and send it any pending releases that it can take."""
-        if client in self.open_requests and client.accepts_any_release:
-            clients.pop(client, None)
-            clients[client] = None
-            self.send_pending()
-
-
-def _latest(clients: dict[ClientConnection, Any], peer: str | None = None) -> ClientConnection | None:
-    """Return the latest open connection that accepts any release, optionally only from one host, or None."""
-    for client in reversed(clients):
-        if client.accepts_any_release and client.is_connected and (peer is None or client.peer == peer):
-            return client
-    return None
+        """Drop the oldest releases: those beyond the number that is kept, and those that have waited too long."""
+        expired_us = self.loop.now - PENDING_TTL_US
+        while (oldest := self._pending.oldest) is not None:
+            if oldest.since_us >= expired_us and len(self._pending) <= MAX_PENDING_RELEASES:
+                return
+            self._pending.remove(oldest)
+            if oldest.match is OwnerMatch.NONE:
+                self.log(
+                    4,
+                    "release-dropped",
+                    {"uid": f"{oldest.release.uid:016x}"},
+                    "no client that could receive the release connected in time",
+                )
--- a/thornshelf/core/requests.py
+++ b/thornshelf/core/requests.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from thornshelf import placement as api
+from thornshelf.core.client_connection import ClientConnection
 from thornshelf.core.messages import CancelTask, ClientDisconnected, TaskRequest
 from thornshelf.core.task import TaskRecord, TaskState
 from thornshelf.placement import Outcome
@@ -42,10 +43,14 @@
         if known is not None:
             self._receive_duplicate(known, request)
             return
+        if request.running_on is not None and core.releases.claim(
+            request.client, request.tenant, request.uid
+        ):
+            return  # the task has ended, and adopting it again would never end
         core.deadlines.limit(request)
         task = core.tasks.create(request, core.loop.now)
         core.tasks.index(task, request.uid)
-        core.releases.request_received(request.client)
+        core.releases.request_received(request.client, request.tenant)
         if request.running_on is not None:
             core.running_tasks.adopt(task, request.running_on)
         else:
@@ -84,8 +89,8 @@
                 core.answers.unsubscribe(task, uid)
             else:
                 self.abandon(task)
-        for uid, outcome, reason, detail in item.pending_releases:
-            core.answers.send_release(item.client, uid, outcome, reason, detail)
+        for release in item.pending_releases:
+            core.answers.send_release(item.client, release)
 
     def abandon(self, task: TaskRecord, counter: str = "given_up") -> None:
         """Close an open task without sending an answer, and withdraw its attempt in flight.
@@ -107,9 +112,11 @@
         uid = request.uid
         client = request.client
         if request.running_on is not None and known.state is TaskState.RUNNING:
-            # A connected owner keeps the release; a disconnected one is replaced only from the same host.
-            owner = known.subscribers.get(uid)
-            if owner is None or (not owner.is_connected and owner.peer == client.peer):
+            # A connected owner keeps the release; a disconnected one is replaced only by itself.
+            subscriber = known.subscribers.get(uid)
+            if subscriber is None or (
+                not subscriber.is_connected and self._is_same_owner(known, subscriber, request)
+            ):
                 known.subscribers[uid] = client
             return
         values: dict[str, object] = {"uid": f"{uid:016x}"}
@@ -119,6 +126,11 @@
         else:
             client.send_failed(uid)
 
+    def _is_same_owner(self, known: TaskRecord, subscriber: ClientConnection, request: TaskRequest) -> bool:
+        """Return whether a request comes from the owner of a known task, whose connection was ``subscriber``."""
+        owner_of = self._core.releases.owner_of
+        return owner_of(subscriber, known.request.tenant) == owner_of(request.client, request.tenant)
+
     def _open_task(self, task: TaskRecord) -> None:
         """Register a new task as open and queue it, unless its idempotency key decides otherwise."""
         core = self._core
--- a/thornshelf/core/running_tasks.py
+++ b/thornshelf/core/running_tasks.py
@@ -8,6 +8,7 @@
 from thornshelf.core.client_connection import AnswerMetadata
 from thornshelf.core.messages import TaskFinished, TaskProgress
 from thornshelf.core.task import TaskRecord, TaskState
+from thornshelf.core.task_release import Release
 from thornshelf.core.unclaimed_ends import UnclaimedEnds
 from thornshelf.placement import Outcome
 
@@ -130,7 +131,9 @@
         if is_release_due:
             for uid, client in task.each_subscriber():
                 core.record_event(task, uid, "released", item.machine, item.outcome, item.reason)
-                core.answers.send_release(client, uid, item.outcome, item.reason, item.detail)
+                owner = core.releases.owner_of(client, task.request.tenant)
+                release = Release(uid, owner, item.outcome, item.reason, item.detail)
+                core.answers.send_release(client, release)
 
     def cancel(self, task: TaskRecord) -> None:
         """End a running task on its node without sending a release."""
--- a/thornshelf/core/state_transfer.py
+++ b/thornshelf/core/state_transfer.py
@@ -12,8 +12,9 @@
 
 from thornshelf.core.dispatcher import Dispatcher
 from thornshelf.core.messages import TaskRequest
-from thornshelf.core.releases import DisconnectedClient, PendingRelease
+from thornshelf.core.releases import DisconnectedClient
 from thornshelf.core.task import TaskState
+from thornshelf.core.task_release import Release
 from thornshelf.placement import Outcome, Reason
 
 PENDING_RELEASE_KEY = "owed"  # holds the task id; only records of pending releases have this key
@@ -75,14 +76,17 @@
 
     uid: int
     peer: str
+    tenant: str | None
     outcome: Outcome
     reason: Reason
 
     def encode(self) -> dict[str, object]:
         """Return the record as a JSON object."""
+        tenant = {} if self.tenant is None else {"tenant": self.tenant}
         return {
             PENDING_RELEASE_KEY: self.uid,
             "peer": self.peer,
+            **tenant,
             "outcome": self.outcome.value,
             "reason": self.reason.value,
         }
@@ -93,6 +97,7 @@
         return cls(
             uid=int(value[PENDING_RELEASE_KEY]),
             peer=str(value["peer"]),
+            tenant=value.get("tenant"),
             outcome=Outcome(value["outcome"]),
             reason=Reason(value["reason"]),
         )
@@ -106,7 +111,7 @@
 
     They belong to the successor from now on; this dispatcher ignores later reports of nodes about them.
     """
-    records = [_release_record(release).encode() for release in core.releases.take_pending()]
+    records = [_release_record(pending.release).encode() for pending in core.releases.take_pending()]
     for task in core.all_tasks():
         endpoint = core.endpoints.entries.get(task.machine)
         if task.state is not TaskState.RUNNING or endpoint is None:
@@ -139,7 +144,8 @@
     except (KeyError, TypeError, ValueError):
         return False
     if isinstance(record, PendingReleaseRecord):
-        core.releases.add_pending(record.peer, record.uid, record.outcome, record.reason)
+        owner = core.releases.owner_of(DisconnectedClient(record.peer), record.tenant)
+        core.releases.add_pending(Release(record.uid, owner, record.outcome, record.reason))
         return True
     if record.task_class not in core.task_classes or core.find_task(record.uid) is not None:
         return False
@@ -157,8 +163,9 @@
             node.reconnect()
 
 
-def _release_record(release: PendingRelease) -> PendingReleaseRecord:
-    return PendingReleaseRecord(release.uid, release.peer, release.outcome, release.reason)
+def _release_record(release: Release) -> PendingReleaseRecord:
+    owner = release.owner
+    return PendingReleaseRecord(release.uid, owner.host, owner.tenant, release.outcome, release.reason)
 
 
 def _decode(value: Mapping[str, Any]) -> TransferRecord:
--- a/thornshelf/frontends/grpc_calls.py
+++ b/thornshelf/frontends/grpc_calls.py
@@ -9,11 +9,10 @@
 
 from google.protobuf.message import Message
 
-from thornshelf.core import AnswerMetadata, ClientDisconnected, TaskRequest
+from thornshelf.core import AnswerMetadata, ClientDisconnected, Release, TaskRequest
 from thornshelf.frontends.grpc_messages import GrpcCodecV1
 from thornshelf.frontends.request_times import DEADLINE_MARGIN_US, lifetime_hint_us, wait_us
 from thornshelf.loop import Timer
-from thornshelf.placement import Outcome, Reason
 from thornshelf.translation.failures import FailureCause, WireFormat
 from thornshelf.wire import grpc, http2
 from thornshelf.wire.errors import WireError
@@ -142,9 +141,7 @@
         """End the call, as the client could not distinguish the answers to two requests with one id."""
         self.finish(grpc.INVALID_ARGUMENT, f"two set-ups under the id {uid:016x}")
 
-    def send_release(
-        self, uid: int, outcome: Outcome, reason: Reason, detail: FailureCause | None = None
-    ) -> None:
+    def send_release(self, release: Release) -> None:
         """Report that a running task has ended."""
         raise NotImplementedError
 
@@ -296,9 +293,7 @@
             text = f"failed: {detail.message}" if detail is not None else "failed: it may have run"
             self.connection.end_early(self, grpc.ABORTED, text)
 
-    def send_release(
-        self, uid: int, outcome: Outcome, reason: Reason, detail: FailureCause | None = None
-    ) -> None:
+    def send_release(self, release: Release) -> None:
         """Do nothing, as the call ends with its answer; releases are sent on ``Dispatch`` streams."""
 
     def send_migrate(self, uid: int) -> None:
--- a/thornshelf/frontends/grpc_streams.py
+++ b/thornshelf/frontends/grpc_streams.py
@@ -6,7 +6,7 @@
 
 from google.protobuf.message import Message
 
-from thornshelf.core import AnswerMetadata, CancelTask, ClientConnected, ClientDisconnected
+from thornshelf.core import AnswerMetadata, CancelTask, ClientConnected, ClientDisconnected, Release
 from thornshelf.frontends.grpc_calls import RESPONSE_HEADERS, TaskCall
 from thornshelf.frontends.grpc_messages import GrpcCodecV1
 from thornshelf.frontends.sent_releases import (
@@ -16,7 +16,6 @@
     not_fully_sent,
     pending_releases,
 )
-from thornshelf.placement import Outcome, Reason
 from thornshelf.translation.failures import FailureCause, WireFormat
 from thornshelf.wire import grpc, http2
 from thornshelf.wire.errors import WireError
@@ -95,16 +94,15 @@
         """Report that the task failed and may have run."""
         self._send_final(uid, self.codec.encode_failed(uid, detail))
 
-    def send_release(
-        self, uid: int, outcome: Outcome, reason: Reason, detail: FailureCause | None = None
-    ) -> None:
+    def send_release(self, release: Release) -> None:
         """Report that a running task has ended."""
         if not self.acknowledges_releases:
             self.sent_releases = not_fully_sent(self.sent_releases)
         elif len(self.sent_releases) >= MAX_UNACKNOWLEDGED_RELEASES:
             discard_oldest(self.sent_releases)
-        write = self._send_final(uid, self.codec.encode_release(uid, outcome, reason, detail))
-        self.sent_releases[uid] = SentRelease(write, outcome, reason, detail)
+        message = self.codec.encode_release(release.uid, release.outcome, release.reason, release.detail)
+        write = self._send_final(release.uid, message)
+        self.sent_releases[release.uid] = SentRelease(write, release)
 
     def send_migrate(self, uid: int) -> None:
         """Report that a running task was stopped and should be requested again."""
--- a/thornshelf/frontends/json_lines.py
+++ b/thornshelf/frontends/json_lines.py
@@ -12,6 +12,7 @@
     ClientConnected,
     ClientDisconnected,
     Dispatcher,
+    Release,
     TaskRequest,
 )
 from thornshelf.frontends.connection_budget import ConnectionBudget
@@ -26,7 +27,7 @@
     pending_releases,
 )
 from thornshelf.loop import Loop, Stream, Wait
-from thornshelf.placement import Outcome, Reason
+from thornshelf.placement import Outcome
 from thornshelf.translation.failures import FailureCause, WireFormat
 from thornshelf.wire import jsonl
 from thornshelf.wire.errors import WireError
@@ -123,17 +124,17 @@
         """Close the connection, as the client could not distinguish the answers to two requests with one id."""
         self.stream.close()
 
-    def send_release(
-        self, uid: int, outcome: Outcome, reason: Reason, detail: FailureCause | None = None
-    ) -> None:
+    def send_release(self, release: Release) -> None:
         """Report that a running task has ended."""
+        uid = release.uid
         self.running.discard(uid)
-        line = jsonl.encode_line("stop", uid, _cause_fields(detail), _RELEASE_CODES.get(outcome, FAILED))
+        code = _RELEASE_CODES.get(release.outcome, FAILED)
+        line = jsonl.encode_line("stop", uid, _cause_fields(release.detail), code)
         if len(self.sent_releases) >= MAX_UNACKNOWLEDGED_RELEASES:
             discard_oldest(self.sent_releases)
         elif len(self.sent_releases) >= MAX_REMEMBERED_RELEASES and not self.acknowledges_releases:
             self.sent_releases = not_fully_sent(self.sent_releases)
-        self.sent_releases[uid] = SentRelease(self.stream.send(line), outcome, reason, detail)
+        self.sent_releases[uid] = SentRelease(self.stream.send(line), release)
 
     def send_migrate(self, uid: int) -> None:
         """Report that a running task was stopped and should be requested again."""
--- a/thornshelf/frontends/sent_releases.py
+++ b/thornshelf/frontends/sent_releases.py
@@ -4,10 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from thornshelf.placement import Outcome, Reason
-from thornshelf.translation.failures import FailureCause
-
 if TYPE_CHECKING:
+    from thornshelf.core.task_release import Release
     from thornshelf.loop import Chunk
     from thornshelf.wire.http2 import OutgoingMessage
 
@@ -20,30 +18,20 @@
     Not a dataclass, because creating one would slow down the start of every dispatcher.
     """
 
-    __slots__ = ("detail", "outcome", "reason", "write")
+    __slots__ = ("release", "write")
 
-    def __init__(
-        self, write: Chunk | OutgoingMessage, outcome: Outcome, reason: Reason, detail: FailureCause | None
-    ) -> None:
+    def __init__(self, write: Chunk | OutgoingMessage, release: Release) -> None:
         self.write = write
-        self.outcome = outcome
-        self.reason = reason
-        self.detail = detail
+        self.release = release
 
 
-def pending_releases(
-    releases: dict[int, SentRelease], acknowledges_releases: bool
-) -> list[tuple[int, Outcome, Reason, FailureCause | None]]:
+def pending_releases(releases: dict[int, SentRelease], acknowledges_releases: bool) -> list[Release]:
     """Return the releases that the client of a closed connection may not have received.
 
     If the client acknowledges releases, these are all that are still in ``releases``, otherwise only those that were
     not handed to the operating system completely.
     """
-    return [
-        (uid, sent.outcome, sent.reason, sent.detail)
-        for uid, sent in releases.items()
-        if acknowledges_releases or not sent.write.fully_sent
-    ]
+    return [sent.release for sent in releases.values() if acknowledges_releases or not sent.write.fully_sent]
 
 
 def not_fully_sent(releases: dict[int, SentRelease]) -> dict[int, SentRelease]:
