Cancel an attempt at a hung gRPC node before its task is sent elsewhere

Cause: withdraw_attempt looked at the bytes buffered in the socket's stream to see whether a cancellation was written. On gRPC it waits in the queue of Http2Connection for the node's window, so the stream is empty and the cancellation counted as written.

Evidence: in the record of the case the first node gets no cancellation until it reads again. Ruled out: the socket's buffers, as the node's library goes on reading them.

Change: the cancellation itself has to be fully sent, else the connection is closed, which gives up what is open on it. GrpcLink keeps attempts back until flow control allows them and the cancellations of all that is at the node; what waits there can be retracted. A lone attempt may use the whole window. withdraw_attempt of links is split into retract_attempt and cancel_attempt, so that a drain no longer cancels by the way what it can't retract.

--- a/thornshelf/nodes/binary.py
+++ b/thornshelf/nodes/binary.py
@@ -67,13 +67,18 @@
             return
         self._unanswered[attempt.uid] = self.stream.send(data)
 
-    def withdraw_attempt(self, uid: int) -> bool:
-        """Remove an attempt from the buffer if no byte of it was sent, else ask the node to cancel it."""
-        chunk = self._unanswered.pop(uid, None)
-        if chunk is not None and self.stream.retract(chunk):
-            return True
-        self.cancel_task(uid)
-        return False
+    def retract_attempt(self, uid: int) -> bool:
+        """Remove an attempt from the buffer if no byte of it was sent."""
+        chunk = self._unanswered.get(uid)
+        if chunk is None or not self.stream.retract(chunk):
+            return False
+        del self._unanswered[uid]
+        return True
+
+    def cancel_attempt(self, uid: int) -> Chunk:
+        """Send a release, and expect no answer to the attempt."""
+        self._unanswered.pop(uid, None)
+        return self.cancel_task(uid)
 
     def may_have_arrived(self, uid: int) -> bool:
         """Return whether an attempt was completely written to the operating system."""
--- a/thornshelf/nodes/grpc.py
+++ b/thornshelf/nodes/grpc.py
@@ -41,6 +41,10 @@
 REASONS_BY_NUMBER = {reason.value: reason for reason in Reason}
 UPDATE_KINDS_BY_NUMBER = {kind.value: kind for kind in TaskUpdateKind}
 
+MAX_TASK_UID = (1 << 64) - 1
+# The most that the fields of an offer but its description take, with tenant, class and the prefixes of messages.
+MAX_OFFER_OVERHEAD_BYTES = 512
+
 _UNIMPLEMENTED = str(grpc.UNIMPLEMENTED)
 
 
@@ -59,11 +63,43 @@
         self._http = http2.Http2Connection(True, stream.send)
         # The sent messages of attempts without an answer, by attempt id.
         self._unanswered: dict[int, http2.OutgoingMessage] = {}
+        self._waiting: dict[int, Attempt] = {}  # attempts that wait for flow control, by id, oldest first
+        self._cancellation_bytes = len(grpc.encode_message(self._make_release(MAX_TASK_UID)))
         self._stream_unprocessed = False  # the node has answered that it has not processed the Bind stream
         self._bind_stream = self._call("Bind")
         self._health_check_stream = 0
 
     def send_attempt(self, attempt: Attempt) -> None:
+        """Send an attempt, or let it wait for flow control."""
+        self._waiting[attempt.uid] = attempt
+        self._send_waiting()
+
+    def _send_waiting(self) -> None:
+        """Send the waiting attempts for which there is room."""
+        while self._waiting:
+            attempt = next(iter(self._waiting.values()))
+            if not self._has_room(attempt):
+                return
+            del self._waiting[attempt.uid]
+            if attempt.is_awaited():
+                self._send_offer(attempt)
+            else:
+                self.node.attempt_finished(attempt.uid, Outcome.NOT_SENT)
+
+    def _has_room(self, attempt: Attempt) -> bool:
+        """Return whether flow control allows an attempt and, after it, the cancellations of all others.
+
+        A node that hangs does not extend the windows. If attempts used them up, none could be cancelled before its
+        task is sent to another node. An only attempt may use all, as some windows are smaller than an attempt.
+        """
+        if not self._unanswered:
+            return True
+        cancellations = len(self._unanswered) + len(self.node.running) + 1
+        size = len(attempt.description) + MAX_OFFER_OVERHEAD_BYTES
+        needed = size + cancellations * self._cancellation_bytes
+        return self._http.send_capacity(self._bind_stream) >= needed
+
+    def _send_offer(self, attempt: Attempt) -> None:
         """Send an attempt with the time that is left for it; one that is too long to be encoded ends as not sent."""
         try:
             data = grpc.encode_message(self._make_offer(attempt))
@@ -84,13 +120,20 @@
         )
         return pb.NodeOrder(uid=attempt.uid, offer=offer)
 
-    def withdraw_attempt(self, uid: int) -> bool:
-        """Remove an attempt from the send queue if no byte of it was sent, else ask the node to cancel it."""
-        message = self._unanswered.pop(uid, None)
-        if message is not None and self._http.retract(self._bind_stream, message):
+    def retract_attempt(self, uid: int) -> bool:
+        """Remove an attempt that waits or is queued if no byte of it was sent."""
+        if self._waiting.pop(uid, None) is not None:
             return True
-        self.cancel_task(uid)
-        return False
+        message = self._unanswered.get(uid)
+        if message is None or not self._http.retract(self._bind_stream, message):
+            return False
+        del self._unanswered[uid]
+        return True
+
+    def cancel_attempt(self, uid: int) -> http2.OutgoingMessage:
+        """Send a release, and expect no answer to the attempt."""
+        self._unanswered.pop(uid, None)
+        return self.cancel_task(uid)
 
     def may_have_arrived(self, uid: int) -> bool:
         """Return whether the node may have processed an attempt."""
@@ -143,6 +186,7 @@
                 self._health_check_event(event)
             if reason is not None:
                 return reason
+        self._send_waiting()  # windows may have been extended, and attempts answered
         return None
 
     def _goaway_received(self, event: http2.GoAway) -> str | None:
--- a/thornshelf/nodes/node_connection.py
+++ b/thornshelf/nodes/node_connection.py
@@ -98,13 +98,14 @@
             return True
         if self.in_flight.pop(attempt.uid, None) is None or (link := self.link) is None:
             return False
-        if link.withdraw_attempt(attempt.uid):
+        if link.retract_attempt(attempt.uid):
             return True
         # Guards against running the task twice: the cancellation must be written before the task is sent elsewhere,
-        # and at the end of the turn another node's stream may be written first. If it can't be written, the
-        # connection is closed, which cancels the attempt as well.
+        # and at the end of the turn another node's stream may be written first. If it can't be written, for which
+        # flow control may be the reason, the connection is closed, which cancels the attempt as well.
+        cancellation = link.cancel_attempt(attempt.uid)
         link.stream.flush()
-        if link.stream.buffered_bytes:
+        if not cancellation.fully_sent:
             link.close("a cancellation could not be written")
         return False
 
@@ -168,7 +169,7 @@
         if link is None:
             return withdrawn
         for uid, attempt in list(self.in_flight.items()):
-            if not link.may_have_arrived(uid) and link.withdraw_attempt(uid):
+            if link.retract_attempt(uid):
                 del self.in_flight[uid]
                 withdrawn.append(attempt)
         return withdrawn
--- a/thornshelf/nodes/node_link.py
+++ b/thornshelf/nodes/node_link.py
@@ -51,8 +51,12 @@
         """Send an attempt; the node answers that the task has started or that the attempt has ended."""
         raise NotImplementedError
 
-    def withdraw_attempt(self, uid: int) -> bool:
-        """Withdraw an attempt if no byte of it was sent, else ask the node to cancel it; returns which it was."""
+    def retract_attempt(self, uid: int) -> bool:
+        """Withdraw an attempt of which no byte was sent; returns false if any was."""
+        raise NotImplementedError
+
+    def cancel_attempt(self, uid: int) -> PendingWrite:
+        """Ask the node to cancel an attempt; returns the request, to find out whether it was sent."""
         raise NotImplementedError
 
     def may_have_arrived(self, uid: int) -> bool:
--- a/thornshelf/wire/http2.py
+++ b/thornshelf/wire/http2.py
@@ -149,6 +149,15 @@
                 self.reset(stream, int(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM))
         return message
 
+    def send_capacity(self, stream: int) -> int:
+        """Return how many more bytes flow control allows on a stream; negative if more than that are queued."""
+        state = self._streams.get(stream)
+        h2_stream = self._h2.streams.get(stream)
+        if state is None or h2_stream is None:
+            return 0
+        window = min(self._h2.outbound_flow_control_window, h2_stream.outbound_flow_control_window)
+        return int(window) - state.queued_bytes
+
     def retract(self, stream: int, message: OutgoingMessage) -> bool:
         """Remove a message from the queue; returns false if a part of it was emitted or it is not queued."""
         state = self._streams.get(stream)
