Replace a gRPC stream that the dispatcher has reset itself

Cause: Http2Connection.send resets a stream with more than 256 KiB queued and told nobody. GrpcLink and DispatchCall went on with a stream that was gone, and their messages were dropped.

Change: the reset is reported; the link closes its connection, and a client's call is closed, its unsent releases, the last one included, going to the client's next stream.

--- a/tests/test_flow_control.py
+++ b/tests/test_flow_control.py
@@ -8,7 +8,9 @@
 
 import pytest
 
-from thornshelf.lab.fakes.cluster import GRPC, GRPC2, JSON, FakeCluster
+from thornshelf.core import TaskFinished
+from thornshelf.lab.fakes.cluster import GRPC, GRPC2, JSON, FakeCluster, NodeBehavior
+from thornshelf.placement import Outcome
 from thornshelf.wire import http2
 
 GENERATIONS = pytest.mark.parametrize("generation", [GRPC, GRPC2])
@@ -16,6 +18,7 @@
 SLACK_S = 0.05
 BODY = "x" * 8000
 REQUESTS = 24  # of which one node gets more than fit into a window of 64 KiB
+NEXT_TASK = 1000
 
 
 def withhold_window_updates(connection: http2.Http2Connection) -> None:
@@ -92,3 +95,45 @@
     cluster.run_for(2000)
     assert not any(name == "hung" and kind == "offer" for _, name, kind, _ in received)
     assert not link.stream.open
+
+
+@GENERATIONS
+def test_a_node_that_reads_too_slowly_is_reconnected_and_its_ends_are_heard(
+    generation: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stream to a node that is reset without notice, after which no end of a task is heard."""
+    monkeypatch.setattr(http2, "MAX_QUEUED_BYTES", 100)
+    cluster = FakeCluster(JSON, generation, node_count=1)
+    for uid in range(1, 21):
+        cluster.client.send_request(uid, NodeBehavior.RUN)
+        cluster.wait_for_events(uid)
+    node: Any = next(iter(cluster.service.core.endpoints.nodes.values()))
+    node.link._http._h2.streams[node.link._bind_stream].outbound_flow_control_window = 0
+    for uid in range(2, 21):
+        cluster.client.cancel(uid)
+    cluster.run_until(lambda: not cluster.service.core.tasks_by_uid.keys() - {1})
+    cluster.run_until(lambda: bool(cluster.nodes[0].responders))
+    cluster.nodes[0].responders[-1].end(1, 16, 1)
+    assert cluster.wait_for_events(1, 2)[1][0] == "released"
+
+
+@GENERATIONS
+def test_a_client_that_reads_too_slowly_gets_its_releases_on_its_next_stream(
+    generation: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a client's stream that is reset without notice, whose releases then go nowhere."""
+    monkeypatch.setattr(http2, "MAX_QUEUED_BYTES", 100)
+    cluster = FakeCluster(generation)
+    core = cluster.service.core
+    for uid in range(1, 21):
+        cluster.client.send_request(uid, NodeBehavior.RUN)
+        cluster.wait_for_events(uid)
+    call: Any = core.tasks_by_uid[1].subscribers[1]
+    call.connection.http._h2.streams[call.stream_id].outbound_flow_control_window = 0
+    for uid in range(1, 21):
+        core.inbox.append(TaskFinished(core.tasks_by_uid[uid].machine, uid, Outcome.OK))
+    cluster.run_until(lambda: call.closed)
+    cluster.client.stream_id = cluster.client.open_stream("Dispatch")
+    cluster.client.send_request(NEXT_TASK, NodeBehavior.RUN)
+    for uid in range(1, 21):
+        assert [event[0] for event in cluster.wait_for_events(uid, 2)] == ["placed", "released"]
--- a/thornshelf/frontends/grpc_connection.py
+++ b/thornshelf/frontends/grpc_connection.py
@@ -43,7 +43,7 @@
     def __init__(self, frontend: GrpcFrontendInterface, stream: Stream) -> None:
         self.frontend = frontend
         self.stream = stream
-        self.http = http2.Http2Connection(False, stream.send)
+        self.http = http2.Http2Connection(False, stream.send, self._stream_overflowed)
         self.calls: dict[int, Call] = {}  # by stream id
         self.max_frames = MAX_FRAMES_PER_TURN  # the current limit
         self.read_backoff: ReadBackoff | None = (
@@ -96,6 +96,18 @@
         for call in list(self.calls.values()):
             call.on_close()
 
+    def _stream_overflowed(self, stream_id: int) -> None:
+        """Close the call of a stream that was reset because its client reads too slowly."""
+        call = self.calls.get(stream_id)
+        if call is not None:
+            self.frontend.core.log(
+                5,
+                "stream-overflowed",
+                {"peer": self.stream.peer},
+                "a client reads too slowly, its call was reset",
+            )
+            call.on_close()
+
     def _send_status(self, stream_id: int, code: int, text: str, pushback_ms: int | None = None) -> None:
         """Send a trailers-only response."""
         headers = RESPONSE_HEADERS + status_trailers(code, text, pushback_ms)
--- a/thornshelf/frontends/grpc_streams.py
+++ b/thornshelf/frontends/grpc_streams.py
@@ -103,6 +103,9 @@
         message = self.codec.encode_release(release.uid, release.outcome, release.reason, release.detail)
         write = self._send_final(release.uid, message)
         self.sent_releases[release.uid] = SentRelease(write, release)
+        if self.closed and not write.fully_sent and not self.closing_cleanly:
+            # The message was one too many for a client that reads too slowly, which ended the call.
+            self.connection.frontend.core.inbox.append(ClientDisconnected(self, [release]))
 
     def send_migrate(self, uid: int) -> None:
         """Report that a running task was stopped and should be requested again."""
--- a/thornshelf/nodes/grpc.py
+++ b/thornshelf/nodes/grpc.py
@@ -60,7 +60,7 @@
 
     def __init__(self, node: BaseNodeConnection, stream: Stream) -> None:
         super().__init__(node, stream)
-        self._http = http2.Http2Connection(True, stream.send)
+        self._http = http2.Http2Connection(True, stream.send, self._stream_overflowed)
         # The sent messages of attempts without an answer, by attempt id.
         self._unanswered: dict[int, http2.OutgoingMessage] = {}
         self._waiting: dict[int, Attempt] = {}  # attempts that wait for flow control, by id, oldest first
@@ -189,6 +189,11 @@
         self._send_waiting()  # windows may have been extended, and attempts answered
         return None
 
+    def _stream_overflowed(self, stream: int) -> None:
+        """Close the connection if the Bind stream was reset, as nothing can be sent or reported without it."""
+        if stream == self._bind_stream:
+            self.close("the node reads too slowly")
+
     def _goaway_received(self, event: http2.GoAway) -> str | None:
         # Streams up to the last one named by GOAWAY are still processed, but no new attempts are sent on them.
         self.accepting = False
--- a/thornshelf/wire/http2.py
+++ b/thornshelf/wire/http2.py
@@ -98,12 +98,18 @@
     """One HTTP/2 connection without its socket.
 
     ``is_client``: whether this side is the client; ``emit``: sends bytes, and returns the write, which knows whether
-    it has completed.
+    it has completed; ``on_overflow``: called with a stream that was reset because its peer reads too slowly.
     """
 
-    def __init__(self, is_client: bool, emit: Callable[[bytes], PendingWrite]) -> None:
+    def __init__(
+        self,
+        is_client: bool,
+        emit: Callable[[bytes], PendingWrite],
+        on_overflow: Callable[[int], None] = lambda stream: None,
+    ) -> None:
         self.is_client = is_client
         self._emit = emit
+        self._on_overflow = on_overflow
         config = h2.config.H2Configuration(client_side=is_client, header_encoding="utf-8")
         self._h2 = h2.connection.H2Connection(config)
         self._streams: dict[int, _Stream] = {}
@@ -147,6 +153,7 @@
             self._try_send_queued(stream)
             if state.queued_bytes > MAX_QUEUED_BYTES:
                 self.reset(stream, int(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM))
+                self._on_overflow(stream)
         return message
 
     def send_capacity(self, stream: int) -> int:
