Handle every item of a turn though one raises, and bound what clients claim

Causes: the first exception of an item, an end of an attempt or an action ended the turn, so one bad line was handled a turn while up to 32 of each connection came in. Names reached the checksum unchecked. Nothing bounded handed-over tasks or the inbox: one client at full speed for 4 s took a process to 248 MB, with ever new nodes to 187 MB.

Change: each item, end and action is guarded; a request that raises is answered as failed and its record removed. Names have to be text of up to 256 characters, on both wires. 4,096 handed-over tasks are kept, half of them of one owner, and 512 unlisted nodes; frontends stop reading while 1,024 items wait. A handed-over task counts with no more than its machine holds and a measurement with no more than twice that; one absurd figure ended all placing.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -303,7 +303,7 @@
     def send_attempt(self, attempt: Attempt) -> None:
         pass
 
-    def withdraw_attempt(self, uid: int) -> bool:
+    def retract_attempt(self, uid: int) -> bool:
         return uid % 2 == 0
 
     def may_have_arrived(self, uid: int) -> bool:
--- a/thornshelf/core/attempts.py
+++ b/thornshelf/core/attempts.py
@@ -135,12 +135,18 @@
         """End the oldest queued attempts, up to the limit of a turn."""
         for _ in range(min(len(self.ended), MAX_ENDED_ATTEMPTS_PER_TURN)):
             item = self.ended.popleft()
-            if isinstance(item, AttemptTimedOut):
-                self.timed_out(item.task, item.attempt)
-                continue
-            task = self._core.tasks.by_uid.get(item.uid)
-            if task is not None and task.attempt is not None:
-                self._attempt_finished(task, task.attempt, item)
+            try:
+                self._end(item)
+            except Exception as error:  # one end must not keep the others from being processed
+                self._core.loop.report_exception(error)
+
+    def _end(self, item: TaskFinished | AttemptTimedOut) -> None:
+        if isinstance(item, AttemptTimedOut):
+            self.timed_out(item.task, item.attempt)
+            return
+        task = self._core.tasks.by_uid.get(item.uid)
+        if task is not None and task.attempt is not None:
+            self._attempt_finished(task, task.attempt, item)
 
     def _attempt_finished(self, task: TaskRecord, attempt: Attempt, item: TaskFinished) -> None:
         """Handle a report of a node or its connection that an attempt has ended."""
--- a/thornshelf/core/dispatcher.py
+++ b/thornshelf/core/dispatcher.py
@@ -66,6 +66,7 @@
     from thornshelf.translation.translator import Translator
 
 MAX_INBOX_ITEMS_PER_TURN = 256
+MAX_INBOX_BACKLOG = 4 * MAX_INBOX_ITEMS_PER_TURN  # with more, frontends read no further requests
 ENDPOINT_LIST_TIMEOUT_US = 250_000  # longest wait for the first endpoint list update after startup
 
 
@@ -183,12 +184,20 @@
     def apply_decisions(self) -> None:
         """Pass the pending events to the decision module and carry out the actions that it returns."""
         for action in self.placement.decide():
-            self.apply_action(action)
+            try:
+                self.apply_action(action)
+            except Exception as error:  # one action must not keep the others from being carried out
+                self.loop.report_exception(error)
 
     def apply_action(self, action: api.Action) -> None:
         """Carry out one action of the decision module."""
         self._action_handlers[type(action)](action)
 
+    @property
+    def has_inbox_backlog(self) -> bool:
+        """Whether so many items wait that frontends should read no further requests in this turn."""
+        return len(self.inbox) >= MAX_INBOX_BACKLOG
+
     @property
     def _has_pending_events(self) -> bool:
         return bool(self.inbox or self.attempts.ended or self.placement.events)
@@ -201,7 +210,12 @@
     def _process_inbox(self) -> None:
         for _ in range(min(len(self.inbox), MAX_INBOX_ITEMS_PER_TURN)):
             item = self.inbox.popleft()
-            self._inbox_handlers[type(item)](item)
+            try:
+                self._inbox_handlers[type(item)](item)
+            except Exception as error:  # one item must not keep the turn from the others
+                if isinstance(item, TaskRequest):
+                    self.requests.abort(item)
+                self.loop.report_exception(error)
 
     def _awaits_endpoint_list(self) -> bool:
         """Return whether requests must still wait because the endpoint list may be stale after startup."""
@@ -329,6 +343,7 @@
         if self.idempotency is not None:
             self.idempotency.cancel_query(task)
             self.idempotency.release_key(task)
+        self.running_tasks.forget_adopted(task)
         self.tasks.remove(task)
 
     def record_event(self, task: TaskRecord, uid: int, event: str, machine: int = 0, *detail: object) -> None:
@@ -336,9 +351,11 @@
         if self.history is not None:
             self.history.record(self.loop.now, uid, task.request.idempotency_key, event, machine, *detail)
 
-    def validation_error(self, task_class: str, tenant: str | None) -> str | None:
-        """Return an error text for a class or tenant that the settings don't define, or None for a valid request."""
-        return self.requests.validation_error(task_class, tenant)
+    def validation_error(
+        self, task_class: str, tenant: str | None, running_on: str | None = None
+    ) -> str | None:
+        """Return why a request for this class and tenant, running on this node, is invalid; None if it is valid."""
+        return self.requests.validation_error(task_class, tenant, running_on)
 
     def unix_seconds(self, at_us: int) -> float:
         """Convert a time on the loop's clock to Unix seconds, as the decision module uses them."""
--- a/thornshelf/core/endpoint_registry.py
+++ b/thornshelf/core/endpoint_registry.py
@@ -53,6 +53,15 @@
                 self.on_new_endpoint(name)
         return machine
 
+    def is_known(self, name: str) -> bool:
+        """Return whether a node of this name is listed, or runs a task by a client's word."""
+        return name in self._machine_by_name
+
+    @property
+    def unlisted_count(self) -> int:
+        """The number of nodes that are known only by the names that clients gave."""
+        return len(self._machine_by_name) - len(self.entries)
+
     def has_work(self, name: str) -> bool:
         """Return whether tasks run on a node, or data waits to be sent to it."""
         machine = self._machine_by_name.get(name)
@@ -102,7 +111,7 @@
         try:
             machine = int(name.rpartition("-")[2], 16) & MACHINE_ID_MASK
         except ValueError:
-            machine = zlib.crc32(name.encode())
+            machine = zlib.crc32(name.encode("utf-8", "surrogatepass"))
         while machine in self._name_by_machine:
             machine = (machine + 1) & MACHINE_ID_MASK
         return machine
--- a/thornshelf/core/parts.py
+++ b/thornshelf/core/parts.py
@@ -92,6 +92,9 @@
 class RunningTasksPart(Protocol):
     """Follows running tasks; implemented by ``thornshelf.core.running_tasks.RunningTasks``."""
 
+    def can_adopt(self, request: TaskRequest) -> bool:
+        """Return whether another task may be handed over by the client of a request."""
+
     def adopt(self, task: TaskRecord, node_name: str) -> None:
         """Take over a task that already runs on the named node."""
 
--- a/thornshelf/core/pending_releases.py
+++ b/thornshelf/core/pending_releases.py
@@ -86,6 +86,12 @@
         pending.sent_to = client
         self._mark_sent(pending)
 
+    @property
+    def oldest_of_largest_owner(self) -> PendingRelease | None:
+        """The oldest release of the owner that has most of them, or None."""
+        largest = max(self._by_owner.values(), key=len, default=None)
+        return None if largest is None else next(iter(largest.values()))
+
     def of_owner(self, owner: TaskOwner) -> list[PendingRelease]:
         """Return the releases for an owner."""
         return list(self._by_owner.get(owner, {}).values())
--- a/thornshelf/core/releases.py
+++ b/thornshelf/core/releases.py
@@ -210,16 +210,17 @@
         return next(matching, None)
 
     def _drop_expired(self) -> None:
-        """Drop the oldest releases: those beyond the number that is kept, and those that have waited too long."""
+        """Drop releases that have waited too long, and while too many are left, those of the owner with the most."""
         expired_us = self.loop.now - PENDING_TTL_US
-        while (oldest := self._pending.oldest) is not None:
-            if oldest.since_us >= expired_us and len(self._pending) <= MAX_PENDING_RELEASES:
-                return
-            self._pending.remove(oldest)
-            if oldest.match is OwnerMatch.NONE:
-                self.log(
-                    4,
-                    "release-dropped",
-                    {"uid": f"{oldest.release.uid:016x}"},
-                    "no client that could receive the release connected in time",
-                )
+        while (oldest := self._pending.oldest) is not None and oldest.since_us < expired_us:
+            self._drop(oldest)
+        while len(self._pending) > MAX_PENDING_RELEASES:
+            if (excess := self._pending.oldest_of_largest_owner) is not None:
+                self._drop(excess)
+
+    def _drop(self, pending: PendingRelease) -> None:
+        self._pending.remove(pending)
+        if pending.match is OwnerMatch.NONE:
+            values: dict[str, object] = {"uid": f"{pending.release.uid:016x}"}
+            text = "no client that could receive the release connected in time"
+            self.log(4, "release-dropped", values, text)
--- a/thornshelf/core/requests.py
+++ b/thornshelf/core/requests.py
@@ -14,6 +14,21 @@
     from thornshelf.core.parts import DispatcherParts
 
 
+MAX_NAME_LENGTH = 256  # characters of a tenant's or node's name
+REJECTED_HAND_OVER_RETRY_US = 1_000_000
+
+
+def _is_name(text: str) -> bool:
+    """Return whether a text of a client is short enough for a name, and can be encoded."""
+    if len(text) > MAX_NAME_LENGTH:
+        return False
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 class Requests:
     """Opens tasks for requests, and closes tasks that no client waits for any more."""
 
@@ -21,15 +36,22 @@
         self._core = core
         self._tenants = {tenant.name for tenant in core.settings.tenants}
 
-    def validation_error(self, task_class: str, tenant: str | None) -> str | None:
-        """Return an error text for a class or tenant that the settings don't define, or None for a valid request.
+    def validation_error(
+        self, task_class: str, tenant: str | None, running_on: str | None = None
+    ) -> str | None:
+        """Return an error text for a class or tenant that the settings don't define, or for a name that is no text.
 
-        Unknown names must not reach the decision module, whose tables would keep them forever.
+        Returns None for a valid request. Unknown names must not reach the decision module, whose tables would keep
+        them forever, and names that can't be encoded must not reach what hashes, forwards or stores them.
         """
         if task_class not in self._core.task_classes:
             return f"class is not known: {task_class!r:.40}"
         if tenant is not None and self._tenants and tenant not in self._tenants:
             return f"tenant is not known: {tenant!r:.40}"
+        if tenant is not None and not _is_name(tenant):
+            return f"tenant is not a name: {tenant!r:.40}"
+        if running_on is not None and not _is_name(running_on):
+            return f"node is not a name: {running_on!r:.40}"
         return None
 
     def receive(self, request: TaskRequest) -> None:
@@ -47,6 +69,9 @@
             request.client, request.tenant, request.uid
         ):
             return  # the task has ended, and adopting it again would never end
+        if request.running_on is not None and not core.running_tasks.can_adopt(request):
+            request.client.send_rejected(request.uid, REJECTED_HAND_OVER_RETRY_US)
+            return
         core.deadlines.limit(request)
         task = core.tasks.create(request, core.loop.now)
         core.tasks.index(task, request.uid)
@@ -126,6 +151,19 @@
         else:
             client.send_failed(uid)
 
+    def abort(self, request: TaskRequest) -> None:
+        """Remove what exists of a request whose handling raised an exception, and answer that it failed."""
+        core = self._core
+        task = core.tasks.by_uid.get(request.uid)
+        if task is not None and task.request is request:
+            if task.state is TaskState.OPEN:
+                self._core.placement.events.append(api.RequestCancelled(task.number))
+                if request.uid in core.releases.open_requests.get(request.client, ()):
+                    core.answers.close(task)
+            task.state = TaskState.ANSWERED
+            core.discard(task)
+        request.client.send_failed(request.uid)
+
     def _is_same_owner(self, known: TaskRecord, subscriber: ClientConnection, request: TaskRequest) -> bool:
         """Return whether a request comes from the owner of a known task, whose connection was ``subscriber``."""
         owner_of = self._core.releases.owner_of
--- a/thornshelf/core/running_tasks.py
+++ b/thornshelf/core/running_tasks.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from thornshelf import placement as api
 from thornshelf.core.client_connection import AnswerMetadata
-from thornshelf.core.messages import TaskFinished, TaskProgress
+from thornshelf.core.messages import TaskFinished, TaskProgress, TaskRequest
 from thornshelf.core.task import TaskRecord, TaskState
-from thornshelf.core.task_release import Release
+from thornshelf.core.task_release import Release, TaskOwner
 from thornshelf.core.unclaimed_ends import UnclaimedEnds
 from thornshelf.placement import Outcome
 
@@ -16,6 +17,10 @@
     from thornshelf.core.parts import DispatcherParts
 
 CANCEL_TIMEOUT_US = 2_000_000  # longest wait for a node to confirm a cancellation
+MAX_ADOPTED_TASKS = 4096  # nothing but their clients' word tells that these tasks run
+MAX_ADOPTED_TASKS_PER_OWNER = MAX_ADOPTED_TASKS // 2
+MAX_UNLISTED_NODES = 512  # that handed-over tasks name, and no endpoint list
+MAX_TASK_FIGURE = 1e9  # of a node's measurement of a task
 UNKNOWN_NODE_TIMEOUT_US = 2_000_000  # longest wait for the endpoint list to name an adopted task's node
 
 
@@ -25,9 +30,35 @@
     def __init__(self, core: DispatcherParts) -> None:
         self._core = core
         self.unclaimed_ends = UnclaimedEnds()
+        self._adopted_counts: Counter[TaskOwner] = Counter()
+        self._adopted_count = 0
 
     # starting
 
+    def can_adopt(self, request: TaskRequest) -> bool:
+        """Return whether another task may be handed over by the client of a request.
+
+        Guards against memory that grows without end with the tasks that a client only claims to run.
+        """
+        endpoints = self._core.endpoints
+        owner = self._core.releases.owner_of(request.client, request.tenant)
+        node_name = request.running_on or ""
+        return (
+            (endpoints.is_known(node_name) or endpoints.unlisted_count < MAX_UNLISTED_NODES)
+            and self._adopted_count < MAX_ADOPTED_TASKS
+            and self._adopted_counts[owner] < MAX_ADOPTED_TASKS_PER_OWNER
+        )
+
+    def forget_adopted(self, task: TaskRecord) -> None:
+        """Count a task that is being forgotten no longer as handed over."""
+        if (owner := task.adopted_for) is None:
+            return
+        task.adopted_for = None
+        self._adopted_count -= 1
+        self._adopted_counts[owner] -= 1
+        if not self._adopted_counts[owner]:
+            del self._adopted_counts[owner]
+
     def adopt(self, task: TaskRecord, node_name: str) -> None:
         """Take over a task that already runs on a node; its client gets no answer, only a release at its end.
 
@@ -35,6 +66,9 @@
         """
         core = self._core
         machine = core.endpoints.machine_id(node_name)
+        task.adopted_for = core.releases.owner_of(task.request.client, task.request.tenant)
+        self._adopted_counts[task.adopted_for] += 1
+        self._adopted_count += 1
         task.machine = machine
         task.state = TaskState.RUNNING
         task.running_since_us = core.loop.now
@@ -93,7 +127,7 @@
         """Pass a value that a node measured on a running task or an attempt to the decision module."""
         core = self._core
         task = core.tasks.by_uid.get(item.uid)
-        if task is None:
+        if task is None or not abs(item.level) <= MAX_TASK_FIGURE:  # a NaN fails the comparison
             return
         attempt = task.attempt
         machine = attempt.machine if attempt is not None else task.machine
--- a/thornshelf/core/task.py
+++ b/thornshelf/core/task.py
@@ -8,6 +8,7 @@
 
 from thornshelf.core.client_connection import ClientConnection
 from thornshelf.core.messages import Attempt, TaskRequest
+from thornshelf.core.task_release import TaskOwner
 from thornshelf.loop import Timer
 from thornshelf.placement import Outcome, Reason
 from thornshelf.translation.failures import FailureCause
@@ -64,10 +65,12 @@
     ``uncertain``: the uncertain attempt with a pending status query.
     ``node_description``: the node's answer, kept for clients that join a deduplicated task later.
     ``last_failure``: the last failure cause from a node.
+    ``adopted_for``: the owner that handed the task over; None for a task that was requested here.
     ``queue_ticket``: the ticket in the request queue while the task waits there.
     """
 
     __slots__ = (
+        "adopted_for",
         "attempt",
         "attempt_count",
         "created_us",
@@ -109,6 +112,7 @@
         self.node_description: bytes | None = None
         self.last_failure: FailureCause | None = None
         self.queue_ticket: int | None = None
+        self.adopted_for: TaskOwner | None = None
 
     @property
     def has_connected_client(self) -> bool:
--- a/thornshelf/frontends/grpc.py
+++ b/thornshelf/frontends/grpc.py
@@ -112,6 +112,8 @@
                 pause_us = self._next_pause_us(connection)
                 if http.has_buffered_frame or pause_us:
                     yield Wait(until=self.loop.now + pause_us)
+                while self.core.has_inbox_backlog:
+                    yield Wait(until=self.loop.now)
                 events = http.receive(b"", connection.max_frames)
             # A client that opens no call, or does not complete a message in time, is disconnected.
             if connection.has_served_call and not http.mid_message:
--- a/thornshelf/frontends/grpc_calls.py
+++ b/thornshelf/frontends/grpc_calls.py
@@ -202,7 +202,9 @@
 
     def _check_request(self, request: Any) -> _RequestNumbers:
         """Validate a request, and return its numbers; raises ``WireError`` with its id if a field is invalid."""
-        error = self.connection.frontend.core.validation_error(request.task_class, request.tenant or None)
+        error = self.connection.frontend.core.validation_error(
+            request.task_class, request.tenant or None, request.at or None
+        )
         if error is not None:
             raise WireError(error, uid=request.uid)
         try:
--- a/thornshelf/frontends/json_lines.py
+++ b/thornshelf/frontends/json_lines.py
@@ -257,13 +257,16 @@
     ) -> int:
         """Handle complete lines, at most ``MAX_LINES_PER_TURN``; returns their number, or ``CONNECTION_BROKEN``.
 
-        Returns ``MAX_LINES_PER_TURN`` also if admission has rejected enough requests that reading should pause.
+        Returns ``MAX_LINES_PER_TURN`` also if admission has rejected enough requests that reading should pause, and
+        if too many requests wait for the core.
         Requests of a client that has disconnected need no answer: they are skipped without being decoded, so that a
         flood of short connections with many requests each does not occupy the turns.
         """
         reader.client_disconnected = connection.stream.peer_closed
         backoff = connection.read_backoff
         for count in range(MAX_LINES_PER_TURN):
+            if self.core.has_inbox_backlog:
+                return MAX_LINES_PER_TURN
             try:
                 line = reader.next()
                 if line is None:
@@ -312,7 +315,7 @@
         is_new_task = fields.at is None
         if is_new_task and not connection.is_connected:
             return  # the client disconnected while its line waited: no answer is needed
-        error = self.core.validation_error(fields.task_class, fields.tenant)
+        error = self.core.validation_error(fields.task_class, fields.tenant, fields.at)
         if error is not None:
             raise WireError(error, uid=line.uid)
         if is_new_task:
--- a/thornshelf/loop/loop.py
+++ b/thornshelf/loop/loop.py
@@ -247,11 +247,15 @@
         try:
             return bool(call())
         except Exception as error:
-            if self.on_exception is None:
-                raise
-            self.on_exception(error)
+            self.report_exception(error)
             return True
 
+    def report_exception(self, error: BaseException) -> None:
+        """Pass an exception that its caller has handled to ``on_exception``; raise it if there is none."""
+        if self.on_exception is None:
+            raise error
+        self.on_exception(error)
+
     def _sleep_s(self) -> float:
         while self._timers and self._timers[0][2].call is None:
             heapq.heappop(self._timers)
--- a/thornshelf/placement/accounting.py
+++ b/thornshelf/placement/accounting.py
@@ -4,7 +4,7 @@
 
 from thornshelf.placement.context import PlacementContext
 from thornshelf.placement.machine import DemandChange, Machine
-from thornshelf.placement.machine_index import RESOURCES
+from thornshelf.placement.machine_index import MAX_USAGE_RATIO, RESOURCES
 from thornshelf.placement.requests import Attempt, AttemptState, PendingRequest
 
 
@@ -75,6 +75,8 @@
 def record_usage(request: PendingRequest, attempt: Attempt, resource: int, usage: float) -> None:
     """Record the usage of a resource that a task reports, in place of its previous report."""
     machine: Machine = attempt.machine
+    if (capacity := machine.capacity[resource]) > 0.0:
+        usage = min(usage, MAX_USAGE_RATIO * capacity)  # as in reports of the machine
     before = attempt.measured_usage[resource]
     machine.measured_usage[resource] += usage - (before or 0.0)
     machine.measured_demand[resource] += request.demand[resource] if before is None else 0.0
--- a/thornshelf/placement/endpoints.py
+++ b/thornshelf/placement/endpoints.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from dataclasses import replace
 
 from thornshelf.placement.actions import WatchEndpoints
 from thornshelf.placement.context import PlacementContext
-from thornshelf.placement.events import Endpoint, EndpointUpdate, EndpointWatchFailed, Health, LoadReport
+from thornshelf.placement.events import (
+    Endpoint,
+    EndpointUpdate,
+    EndpointWatchFailed,
+    Health,
+    LoadReport,
+    PlacementRequest,
+)
 from thornshelf.placement.machine import Machine
 from thornshelf.placement.machine_index import RESOURCES, MachineIndex
 from thornshelf.placement.slow_start import SlowStart
@@ -37,6 +45,20 @@
         self.machines[machine_id] = machine
         return machine
 
+    def limit_demand(self, spec: PlacementRequest, machine: Machine) -> PlacementRequest:
+        """Return a running task's request with no more demand than the machine, or the largest one, can hold.
+
+        The demand is what a client claims. A larger one can't be true, and nothing else would be placed.
+        """
+        capacity = machine.capacity if machine.capacity[0] > 0.0 else self.largest_capacity
+        cores, memory = (
+            min(claimed, available) if available > 0.0 else claimed
+            for claimed, available in zip((spec.cores, spec.memory), capacity, strict=True)
+        )
+        if (cores, memory) == (spec.cores, spec.memory):
+            return spec
+        return replace(spec, cores=cores, memory=memory)
+
     def remove_unused(self) -> None:
         """Discard removed machines without own tasks, so that they don't accumulate."""
         unused = [m for m in self.machines.values() if m.health is Health.REMOVED and not m.tasks_by_service]
--- a/thornshelf/placement/placer.py
+++ b/thornshelf/placement/placer.py
@@ -226,7 +226,7 @@
     def _adopt_task(self, event: TaskAdopted) -> None:
         """Track a running task that was handed over."""
         machine = self.endpoints.get_or_add(event.machine)
-        request = self.track(event.request)
+        request = self.track(self.endpoints.limit_demand(event.request, machine))
         request.open = False
         attempt = Attempt(machine, self._context.now, AttemptState.BOUND)
         request.attempts.append(attempt)
--- a/thornshelf/placement/pricing.py
+++ b/thornshelf/placement/pricing.py
@@ -34,14 +34,16 @@
 def unit_costs(usage: Sequence[float], capacity: Sequence[float], demand: Sequence[float]) -> list[float]:
     """Return the paper's unit cost of each requested resource; without capacity it is ``COST_BASE**2``."""
     return [
-        COST_BASE ** (used / size) * (COST_BASE ** min(requested / size, MAX_RANK_EXPONENT) - 1.0)
-        if size > 0.0
-        else COST_BASE**2
+        _power(used / size) * (_power(requested / size) - 1.0) if size > 0.0 else COST_BASE**2
         for used, size, requested in zip(usage, capacity, demand, strict=True)
         if requested > 0.0
     ]
 
 
+def _power(exponent: float) -> float:
+    return math.pow(COST_BASE, min(exponent, MAX_RANK_EXPONENT))
+
+
 def is_under_threshold(costs: Sequence[float]) -> bool:
     """Return whether each unit cost, and their mean, are within the admission threshold."""
     threshold = ADMISSION_THRESHOLD * (COST_BASE - 1.0)
