Cancel the timer of a request's deadline as the request is over

Cause: the deadline's timer was never cancelled and holds the task's record, its request and client for seconds after the task is over.

Evidence: of 50 requests that were sent and cancelled the records were all still there when every table had dropped them.

--- a/thornshelf/core/answers.py
+++ b/thornshelf/core/answers.py
@@ -49,6 +49,7 @@
         self, task: TaskRecord, subscribers: Mapping[int, ClientConnection], metadata: AnswerMetadata | None
     ) -> None:
         """Tell these subscribers that the task runs."""
+        task.cancel_deadline()
         for uid, client in subscribers.items():
             self.open_count -= 1
             self._core.releases.request_answered(client, uid)
@@ -61,6 +62,7 @@
     def close(self, task: TaskRecord) -> None:
         """Mark a task as answered and take it off the queue; its requests are no longer open."""
         task.state = TaskState.ANSWERED
+        task.cancel_deadline()
         if task.queue_ticket is not None:
             self._core.queue.remove(task.queue_ticket)
             task.queue_ticket = None
--- a/thornshelf/core/deadlines.py
+++ b/thornshelf/core/deadlines.py
@@ -37,7 +37,8 @@
 
     def arm(self, task: TaskRecord) -> None:
         """Set a timer that fails a task if it is still open at its deadline."""
-        self._core.loop.call_at(task.request.deadline_us, lambda: self._deadline_exceeded(task))
+        deadline_us = task.request.deadline_us
+        task.deadline_timer = self._core.loop.call_at(deadline_us, lambda: self._deadline_exceeded(task))
 
     def _deadline_exceeded(self, task: TaskRecord) -> None:
         if task.state is not TaskState.OPEN:
--- a/thornshelf/core/task.py
+++ b/thornshelf/core/task.py
@@ -65,6 +65,7 @@
     ``uncertain``: the uncertain attempt with a pending status query.
     ``node_description``: the node's answer, kept for clients that join a deduplicated task later.
     ``last_failure``: the last failure cause from a node.
+    ``deadline_timer``: fails the task at its deadline, while it is open.
     ``adopted_for``: the owner that handed the task over; None for a task that was requested here.
     ``queue_ticket``: the ticket in the request queue while the task waits there.
     """
@@ -74,6 +75,7 @@
         "attempt",
         "attempt_count",
         "created_us",
+        "deadline_timer",
         "deduplicated",
         "indexed_machines",
         "last_failure",
@@ -113,6 +115,7 @@
         self.last_failure: FailureCause | None = None
         self.queue_ticket: int | None = None
         self.adopted_for: TaskOwner | None = None
+        self.deadline_timer: Timer | None = None
 
     @property
     def has_connected_client(self) -> bool:
@@ -132,6 +135,12 @@
         """All ids under which the task is known."""
         return {self.node_uid, self.request.uid, *self.subscribers}
 
+    def cancel_deadline(self) -> None:
+        """Cancel the timer of the deadline, which holds the task until then, as the task is answered."""
+        if self.deadline_timer is not None:
+            self.deadline_timer.cancel()
+            self.deadline_timer = None
+
     def cancel_timer(self) -> None:
         """Cancel the timer of the attempt in flight or of a cancellation, if one is set."""
         if self.timer is not None:
