Close a connection whose unfinished HTTP/2 head is longer than 32 KiB

Cause: h2 keeps CONTINUATION frames until the head ends and limits their number only, 64 of 16 KiB on each connection.

Change: the bytes of an unfinished head are counted, and beyond 32 KiB the connection is closed.

Test: tests/test_hostile_clients.py; before, the connection took over 64 KiB and stayed open.

--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -4,8 +4,12 @@
 
 import gc
 
+import h2.config
+import h2.connection
 import pytest
+from hyperframe.frame import ContinuationFrame, HeadersFrame
 
+from tests.test_bad_clients import connect_raw, read_all
 from thornshelf.core.task import TaskRecord
 from thornshelf.lab.fakes.cluster import GRPC, JSON, FakeCluster, NodeBehavior
 
@@ -28,3 +32,21 @@
     gc.collect()
     records = [item for item in gc.get_objects() if isinstance(item, TaskRecord)]
     assert not [task for task in records if task.request.uid in uids]
+
+
+def test_a_head_that_never_ends_closes_its_connection_before_it_takes_much_memory() -> None:
+    """Guards against a connection that may hold 1 MiB of unfinished header fields, and hundreds of them 300 MB."""
+    cluster = FakeCluster(GRPC)
+    client = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+    client.initiate_connection()
+    block = b"\x00\x01a\x01b" * 3000  # literal fields of one character each
+    sock = connect_raw(cluster, GRPC)
+    sock.sendall(client.data_to_send() + HeadersFrame(1, data=block).serialize())
+    frame = ContinuationFrame(1, data=block).serialize()
+    sent = len(block)
+    while not [line for line in cluster.logged if "head is longer" in line[3]]:
+        assert sent <= 64 * 1024, "the connection takes ever more of a head"
+        sock.sendall(frame)
+        sent += len(block)
+        cluster.run_for(5)
+    read_all(cluster, sock)  # ends only if the dispatcher has closed the connection
--- a/thornshelf/wire/http2.py
+++ b/thornshelf/wire/http2.py
@@ -47,6 +47,7 @@
 MAX_CONCURRENT_STREAMS = 128  # that the peer may have open on one connection
 MAX_FRAMES = 1 << 20  # processed by one call of ``receive`` if the caller sets no limit
 MAX_QUEUED_BYTES = 256 * 1024  # on one stream; a stream whose peer reads too slowly is reset beyond it
+MAX_HEADER_BLOCK_BYTES = 32 * 1024  # of the frames of one unfinished head, which are kept until its last one
 WINDOW_UPDATE_BYTES = 16 * 1024  # received per WINDOW_UPDATE: a quarter of the protocol's initial window
 
 _PREFACE_LENGTH = 24
@@ -55,8 +56,11 @@
 _STREAM_ID_MASK = 0x7FFFFFFF
 # Frame types and flags.
 _DATA = 0
+_HEADERS = 1
 _GOAWAY = 7
+_CONTINUATION = 9
 _END_STREAM = 1
+_END_HEADERS = 4
 _PADDED = 8
 
 REFUSED_STREAM = int(h2.errors.ErrorCodes.REFUSED_STREAM)
@@ -105,11 +109,11 @@
         self,
         is_client: bool,
         emit: Callable[[bytes], PendingWrite],
-        on_overflow: Callable[[int], None] = lambda stream: None,
+        on_overflow: Callable[[int], None] | None = None,
     ) -> None:
         self.is_client = is_client
         self._emit = emit
-        self._on_overflow = on_overflow
+        self._on_overflow = on_overflow or _ignore_overflow
         config = h2.config.H2Configuration(client_side=is_client, header_encoding="utf-8")
         self._h2 = h2.connection.H2Connection(config)
         self._streams: dict[int, _Stream] = {}
@@ -117,6 +121,7 @@
         self._preface_length = 0 if is_client else _PREFACE_LENGTH
         self._last_peer_stream = 0
         self._consumed_bytes = 0  # of DATA frames since the last WINDOW_UPDATE of the connection
+        self._header_block_bytes = 0  # of the frames of an unfinished head
         self.peer_settings_received = False  # a SETTINGS frame: proof that the peer supports HTTP/2
         self._h2.local_settings[SettingCodes.MAX_CONCURRENT_STREAMS] = MAX_CONCURRENT_STREAMS
         self._h2.initiate_connection()
@@ -191,8 +196,12 @@
             self._flush()
 
     def close(self) -> None:
-        """Discard all streams, as the connection has ended; messages sent later are dropped."""
+        """Discard all streams and input, as the connection has ended; messages sent later are dropped."""
         self._streams.clear()
+        self._buffer = b""
+        self._on_overflow = (
+            _ignore_overflow  # its owner refers to this object, and both are freed without a cycle
+        )
 
     def ping(self) -> None:
         """Send a PING frame, which a live peer acknowledges."""
@@ -237,6 +246,8 @@
                     # (RFC 9113, section 5.1). h2 would answer each such frame.
                     self._window_consumed(len(frame) - _FRAME_HEADER_LENGTH)
                     continue
+            if not self._preface_length:
+                self._check_header_block(frame)
             self._preface_length = 0
             try:
                 h2_events = self._h2.receive_data(frame)
@@ -252,6 +263,20 @@
         self._flush()
         return events
 
+    def _check_header_block(self, frame: bytes) -> None:
+        """Raise ``WireError`` if the frames of an unfinished head are longer than it may be.
+
+        h2 keeps them until the last one has come, and limits their number only: 1 MiB for each connection.
+        """
+        if frame[3] not in (_HEADERS, _CONTINUATION):
+            return
+        self._header_block_bytes += len(frame) - _FRAME_HEADER_LENGTH
+        if self._header_block_bytes > MAX_HEADER_BLOCK_BYTES:
+            self.close()
+            raise WireError(f"head is longer than {MAX_HEADER_BLOCK_BYTES} bytes", fatal=True)
+        if frame[4] & _END_HEADERS:
+            self._header_block_bytes = 0
+
     def _next_frame(self) -> bytes | None:
         """Take the connection preface or the next complete frame from the buffer; None if it is incomplete."""
         length = self._frame_length()
@@ -391,6 +416,10 @@
             self._emit(data)
 
 
+def _ignore_overflow(stream: int) -> None:
+    """Do nothing: nobody has to know."""
+
+
 def rejection_frames() -> bytes:
     """Return all that a server sends on a rejected connection: SETTINGS, and GOAWAY with ENHANCE_YOUR_CALM."""
     code = int(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM)
