Reject an id whose withdrawn attempt may still be answered

Callers saw: a client left while its ledger-batch started and came again under the same id; of 31 ids one was told that its task had ended while it ran (picture (c), shown by a script with one node that takes 30 ms for a start).

Cause: nodes' reports carry the id alone, and a new attempt under the id was in flight at the same node. The late answer to the withdrawn attempt, and its end, counted for the new one.

Evidence: the client gets `running` and `stop` while the node runs the task; the node reports the cut of the first copy after its late answer.

Test: tests/test_hostile_clients.py, six rows over the wires; all fail without the check.

--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -10,8 +10,9 @@
 from hyperframe.frame import ContinuationFrame, HeadersFrame
 
 from tests.test_bad_clients import connect_raw, read_all
+from thornshelf.core import withdrawn_ids
 from thornshelf.core.task import TaskRecord
-from thornshelf.lab.fakes.cluster import GRPC, JSON, FakeCluster, NodeBehavior
+from thornshelf.lab.fakes.cluster import BINARY, GRPC, GRPC2, JSON, FakeCluster, NodeBehavior
 
 FRONTS = pytest.mark.parametrize("front", [JSON, GRPC])
 FIRST_UID = 0x7E57_0000_0000_0000
@@ -50,3 +51,26 @@
         sent += len(block)
         cluster.run_for(5)
     read_all(cluster, sock)  # ends only if the dispatcher has closed the connection
+
+
+@pytest.mark.parametrize("node", [BINARY, GRPC, GRPC2])
+@FRONTS
+def test_an_id_that_comes_again_while_its_attempt_may_be_answered_is_rejected(front: str, node: str) -> None:
+    """Guards against taking the late answer and end of a withdrawn attempt for those of a new one."""
+    cluster = FakeCluster(front, node, node_count=1)
+    fake_node = cluster.nodes[0]
+    cluster.client.send_request(5, NodeBehavior.IGNORE)
+    cluster.run_until(lambda: fake_node.offer_count(5) == 1)
+    cluster.client.stream.close()
+    returned = cluster.connect_client(front)
+    returned.send_request(5, NodeBehavior.RUN)
+    cluster.run_until(lambda: 5 in returned.events)
+    assert returned.events[5][0][0] == "refused"
+    assert fake_node.offer_count(5) == 1
+    returned.send_request(6, NodeBehavior.RUN)
+    cluster.run_until(lambda: 6 in returned.events)
+    cluster.run_for(withdrawn_ids.WITHDRAWN_TTL_US // 1000)
+    returned.events.pop(5)
+    returned.send_request(5, NodeBehavior.RUN)
+    cluster.run_until(lambda: 5 in returned.events)
+    assert returned.events[5][0][0] == "placed"
--- a/thornshelf/core/attempts.py
+++ b/thornshelf/core/attempts.py
@@ -8,6 +8,7 @@
 from thornshelf import placement as api
 from thornshelf.core.messages import Attempt, TaskFinished, TaskStarted
 from thornshelf.core.task import AttemptTimedOut, TaskRecord, TaskState
+from thornshelf.core.withdrawn_ids import WithdrawnIds
 from thornshelf.placement import Idempotency, Outcome, Reason
 from thornshelf.translation.failures import FailureReason, failure_cause
 
@@ -27,6 +28,7 @@
     def __init__(self, core: DispatcherParts) -> None:
         self._core = core
         self.ended: deque[TaskFinished | AttemptTimedOut] = deque()
+        self.withdrawn_ids = WithdrawnIds()
 
     # starting
 
@@ -223,6 +225,8 @@
         ):
             return
         task.attempt = None
+        if not never_sent:
+            self.withdrawn_ids.add(task.node_uid, core.loop.now)
         self.report_outcome(task, attempt, Outcome.NOT_SENT if never_sent else outcome)
 
     def report_outcome(
--- a/thornshelf/core/parts.py
+++ b/thornshelf/core/parts.py
@@ -22,6 +22,7 @@
 from thornshelf.core.task import AttemptTimedOut, TaskRecord
 from thornshelf.core.task_release import Release
 from thornshelf.core.task_table import TaskTable
+from thornshelf.core.withdrawn_ids import WithdrawnIds
 from thornshelf.loop import Loop
 from thornshelf.placement import Outcome, Settings, TaskClass
 from thornshelf.translation.failures import FailureCause, FailureReason
@@ -61,6 +62,7 @@
     """Manages attempts in flight; implemented by ``thornshelf.core.attempts.Attempts``."""
 
     ended: deque[TaskFinished | AttemptTimedOut]
+    withdrawn_ids: WithdrawnIds
 
     def start(self, action: api.StartAttempt) -> None:
         """Send an attempt to a node."""
--- a/thornshelf/core/requests.py
+++ b/thornshelf/core/requests.py
@@ -69,6 +69,11 @@
             request.client, request.tenant, request.uid
         ):
             return  # the task has ended, and adopting it again would never end
+        if request.running_on is None:
+            wait_us = core.attempts.withdrawn_ids.remaining_us(request.uid, core.loop.now)
+            if wait_us:
+                request.client.send_rejected(request.uid, wait_us)
+                return
         if request.running_on is not None and not core.running_tasks.can_adopt(request):
             request.client.send_rejected(request.uid, REJECTED_HAND_OVER_RETRY_US)
             return
