Pass the key of keyed classes on to nodes as parameter 168

Change: `idem` goes unchanged with every attempt to binary nodes and is never made up; what can't be passed on is answered as unreadable. The gRPC interfaces have no field for it.

--- a/thornshelf/core/messages.py
+++ b/thornshelf/core/messages.py
@@ -47,7 +47,11 @@
 
 @dataclass(eq=False, slots=True)
 class TaskRequest:
-    """A request to place a task; with ``running_on``, the task already runs on the node of that name."""
+    """A request to place a task.
+
+    ``running_on``: the node on which the task already runs. ``deduplication_key``: by which the nodes of a keyed
+    class let one copy of a task run; the client sends the same with all tries.
+    """
 
     client: ClientConnection
     uid: int
@@ -61,6 +65,7 @@
     memory: float
     description: bytes
     running_on: str | None = None
+    deduplication_key: str | None = None
 
     @property
     def declared_fields(self) -> DeclaredFields:
--- a/thornshelf/frontends/json_lines.py
+++ b/thornshelf/frontends/json_lines.py
@@ -339,6 +339,7 @@
                 memory=fields.memory,
                 description=line.body or b"",
                 running_on=fields.at,
+                deduplication_key=fields.idem,
             )
         )
 
--- a/thornshelf/nodes/binary.py
+++ b/thornshelf/nodes/binary.py
@@ -60,6 +60,8 @@
             binary.KEY: f"{attempt.idempotency_key:016x}".encode(),
             binary.DESCRIPTION: attempt.description,
         }
+        if attempt.request is not None and attempt.request.deduplication_key is not None:
+            values[binary.DEDUPLICATION_KEY] = attempt.request.deduplication_key.encode()
         try:
             data = binary.encode(binary.SET_UP, attempt.uid, values)
         except WireError:
--- a/thornshelf/translation/field_mapping.py
+++ b/thornshelf/translation/field_mapping.py
@@ -78,6 +78,11 @@
         derived("the remaining time limit of the attempt"),
     ),
     "idempotency key": to_nodes(CARRIED, CARRIED, CARRIED),
+    "deduplication key": to_nodes(
+        CARRIED,
+        omitted("nodes of these generations go by the idempotency key"),
+        omitted("nodes of these generations go by the idempotency key"),
+    ),
     "description": to_nodes(CARRIED, CARRIED, CARRIED),
     "cancellation": to_nodes(CARRIED, CARRIED, CARRIED),
     "tenant": to_nodes(_USED_BY_PLACEMENT, _USED_BY_PLACEMENT, CARRIED),
--- a/thornshelf/wire/jsonl.py
+++ b/thornshelf/wire/jsonl.py
@@ -11,6 +11,7 @@
 from thornshelf.wire.errors import WireError
 
 MAX_MESSAGE = 16 * 1024
+MAX_SHORT_TEXT = 256  # characters of a key
 MAX_NUMBER = 1e9  # the largest number of a request: milliseconds, cores or units of memory
 _HEX = frozenset("0123456789abcdefABCDEF")
 _KIND = b'"kind"'
@@ -30,7 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LaunchFields:
-    """The fields of a launch request, in the units of the wire; ``at``: the node that runs the task already."""
+    """The fields of a launch request, in the units of the wire.
+
+    ``at``: the node that runs the task already; ``idem``: the key of a keyed class, the same for all tries.
+    """
 
     task_class: str
     left_ms: float
@@ -41,6 +45,7 @@
     memory: float
     service: int
     at: str | None
+    idem: str | None
 
 
 # All kinds of lines, and the fields and causes of lines to clients, which the field mapping covers.
@@ -82,6 +87,19 @@
     return number
 
 
+def _short_text(value: object, field_name: str) -> str | None:
+    """Return a text that can be passed on, or None if there is none; raises ``WireError`` for anything else."""
+    if value is None or value == "":
+        return None
+    if not isinstance(value, str) or len(value) > MAX_SHORT_TEXT:
+        raise WireError(f"{field_name} is not a text of up to {MAX_SHORT_TEXT} characters: {value!r:.40}")
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise WireError(f"{field_name} can't be encoded: {value!r:.40}") from None
+    return value
+
+
 def parse_line(text: bytes) -> Line:
     """Decode one line without its line end.
 
@@ -133,6 +151,7 @@
             memory=_bounded_number(extras.get("memory", 0.0), "memory"),
             service=parse_hex_number(extras.get("service", "0"), "service"),
             at=extras.get("at") or None,
+            idem=_short_text(meta.get("idem"), "idem"),
         )
     except WireError as error:
         raise WireError(str(error), uid=line.uid) from None
